Pass on the configuration in force; dial nodes in return that have no row yet

Cause: peers passed on the newest row of the operator's table. When that was malformed, a node that restarted during an outage had no configuration. A node whose row no copy held was not dialed by one that restarted during the outage. Change: a node keeps the row that it has in force and sends it beside the newest one; greetings carry the address, and a link from an unknown node is answered by one.

--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -29,6 +29,7 @@
 	PeerDown           = Event{304, Warning, "link to a peer is down"}
 	PeerFrameMalformed = Event{305, Warning, "frame of a peer can't be read and is ignored"}
 	PeerRowsTaken      = Event{306, Info, "rows of the store were taken from a peer"}
+	PeerIntroduced     = Event{309, Info, "a node without a row opened a link and is dialed in return"}
 	HeartbeatMalformed = Event{307, Warning, "heartbeat can't be read and is ignored"}
 	HeartbeatOutdated  = Event{308, Info, "heartbeat of an earlier incarnation or state is ignored"}
 	HTTPServer         = Event{404, Warning, "HTTP server reports a problem with a connection"}
@@ -63,7 +64,7 @@
 		MeshJoined, MeshJoinFailed,
 		UpstreamAnnounced, UpstreamDraining, UpstreamLost, HTTPServer,
 		SettingsReloaded, SettingsRejected, LogLinesDropped,
-		PeerUp, PeerDown, PeerFrameMalformed, PeerRowsTaken, HeartbeatMalformed, HeartbeatOutdated,
+		PeerUp, PeerDown, PeerFrameMalformed, PeerRowsTaken, PeerIntroduced, HeartbeatMalformed, HeartbeatOutdated,
 		RequestMalformed, RequestNoRoute, RequestAttempt, RequestRefused, RequestFailed, UpstreamRefuses,
 		MoveOrdered, MoveOrderMalformed, MoveJudged, PlatformHistory,
 		MoveStage, MoveTakenBack, MoveOutcome, MoveOutcomePending,
--- a/pkg/link/frames.go
+++ b/pkg/link/frames.go
@@ -12,6 +12,9 @@
 	Node string `cbor:"1,keyasint"`
 	// Process identifies one start of the node.
 	Process uint64 `cbor:"2,keyasint"`
+	// Address is where the node takes links. A node whose row the receiver does
+	// not have yet is reached there.
+	Address string `cbor:"3,keyasint,omitempty"`
 }
 
 // Server tells the state of the server beside the sender.
@@ -80,6 +83,8 @@
 // Versions tells up to which version the sender's copy of each table is complete.
 type Versions struct {
 	Tables map[string]uint64 `cbor:"1,keyasint"`
+	// Configuration is the version that the sender has in force; 0 is none.
+	Configuration uint64 `cbor:"2,keyasint,omitempty"`
 }
 
 // RowsWanted asks for the rows of a table that changed after a version.
@@ -93,6 +98,9 @@
 	Table    string         `cbor:"1,keyasint"`
 	Rows     []rowcache.Row `cbor:"2,keyasint"`
 	Complete uint64         `cbor:"3,keyasint"`
+	// Accepted is the newest row that the sender has put in force, if that is not
+	// the newest row of the table.
+	Accepted *rowcache.Row `cbor:"4,keyasint,omitempty"`
 }
 
 // Evidence tells what the sender's server did in a roll-out.
--- a/pkg/rowcache/cache.go
+++ b/pkg/rowcache/cache.go
@@ -11,6 +11,7 @@
 	mu       sync.Mutex
 	tables   map[string]map[string]Row
 	complete map[string]uint64 // version up to which a table's copy is complete
+	accepted map[string]Row    // newest row of a table that was put in force
 	changed  chan struct{}
 }
 
@@ -18,7 +19,7 @@
 func New(tables ...string) *Cache {
 	c := &Cache{
 		tables: make(map[string]map[string]Row), complete: make(map[string]uint64),
-		changed: make(chan struct{}, 1),
+		accepted: make(map[string]Row), changed: make(chan struct{}, 1),
 	}
 	for _, t := range tables {
 		c.tables[t] = make(map[string]Row)
@@ -71,11 +72,35 @@
 		c.complete[table] = complete
 	}
 	if notify {
-		select {
-		case c.changed <- struct{}{}:
-		default: // a notification is pending already
-		}
+		c.notify()
+	}
+}
+
+func (c *Cache) notify() {
+	select {
+	case c.changed <- struct{}{}:
+	default: // a notification is pending already
+	}
+}
+
+// Accept keeps a row that was put in force, here or at a peer, besides the newest
+// one: the newest may be malformed, and then the accepted one stays in force.
+func (c *Cache) Accept(r Row) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if known, ok := c.accepted[r.Table]; ok && known.Version >= r.Version {
+		return
 	}
+	c.accepted[r.Table] = r
+	c.notify()
+}
+
+// Accepted returns the newest row of a table that was put in force.
+func (c *Cache) Accepted(table string) (Row, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r, ok := c.accepted[table]
+	return r, ok
 }
 
 // Version returns up to which version the copy of a table is complete; 0 if
--- a/pkg/sidecar/apply.go
+++ b/pkg/sidecar/apply.go
@@ -34,11 +34,22 @@
 	}
 }
 
-// applyConfiguration swaps in a newer configuration. A bad or older one leaves
-// the one in force.
+// applyConfiguration swaps in a newer configuration. What a peer has in force is
+// looked at before the newest row, which may be malformed.
 func (n *Node) applyConfiguration(state *applied) {
-	row, ok := n.cache.Get(n.deploy.Translator.Table(), n.deploy.Translator.ConfigurationKey())
-	if !ok || row.Version <= state.configuration {
+	table := n.deploy.Translator.Table()
+	if row, ok := n.cache.Accepted(table); ok {
+		n.applyConfigurationRow(state, row)
+	}
+	if row, ok := n.cache.Get(table, n.deploy.Translator.ConfigurationKey()); ok {
+		n.applyConfigurationRow(state, row)
+	}
+}
+
+// applyConfigurationRow puts a newer row in force. A bad or older configuration
+// leaves the one in force.
+func (n *Node) applyConfigurationRow(state *applied, row rowcache.Row) {
+	if row.Version <= state.configuration {
 		return
 	}
 	state.configuration = row.Version
@@ -55,6 +66,7 @@
 		return
 	}
 	n.table.Store(table)
+	n.cache.Accept(row)
 	n.metrics.configuration.Set(float64(table.Version))
 	event.RevisionInForce.Log("version", table.Version, "row", row.Version, "routes", table.Routes())
 	if old == nil {
--- a/pkg/sidecar/handler.go
+++ b/pkg/sidecar/handler.go
@@ -48,8 +48,10 @@
 // moment before it asks the peer for the rows.
 func (h *handler) Versions(l *link.Link, v link.Versions) {
 	n := (*Node)(h)
+	operators := n.deploy.Translator.Table()
 	for table, version := range v.Tables {
-		if version <= n.cache.Version(table) {
+		lacksConfiguration := table == operators && v.Configuration > 0 && n.table.Load() == nil
+		if version <= n.cache.Version(table) && !lacksConfiguration {
 			continue
 		}
 		if _, busy := n.peers.asking.LoadOrStore(table, true); busy {
@@ -57,7 +59,8 @@
 		}
 		time.AfterFunc(peerRowsDelay, func() {
 			n.peers.asking.Delete(table)
-			if known := n.cache.Version(table); known < version {
+			known := n.cache.Version(table)
+			if known < version || lacksConfiguration && n.table.Load() == nil {
 				_ = l.Send(link.KindRowsWanted, link.RowsWanted{Table: table, After: known}) // another peer will tell
 			}
 		})
@@ -67,12 +70,21 @@
 // RowsWanted sends what a peer lacks.
 func (h *handler) RowsWanted(l *link.Link, w link.RowsWanted) {
 	rows, complete := h.cache.Since(w.Table, w.After)
-	_ = l.Send(link.KindRows, link.Rows{Table: w.Table, Rows: rows, Complete: complete}) // a lost link asks again
+	answer := link.Rows{Table: w.Table, Rows: rows, Complete: complete}
+	if accepted, ok := h.cache.Accepted(w.Table); ok {
+		if newest, ok := h.cache.Get(w.Table, accepted.Key); !ok || newest.Version != accepted.Version {
+			answer.Accepted = &accepted
+		}
+	}
+	_ = l.Send(link.KindRows, answer) // a lost link asks again
 }
 
 // Rows takes what this node lacked.
 func (h *handler) Rows(l *link.Link, r link.Rows) {
 	before := h.cache.Version(r.Table)
+	if r.Accepted != nil {
+		h.cache.Accept(*r.Accepted)
+	}
 	h.cache.Apply(r.Table, r.Rows, r.Complete)
 	event.PeerRowsTaken.Log("peer", l.Peer.Node, "table", r.Table, "rows", len(r.Rows), "before", before, "complete", r.Complete)
 }
--- a/pkg/sidecar/peer.go
+++ b/pkg/sidecar/peer.go
@@ -24,7 +24,9 @@
 	address string
 	peers   *peers
 	stop    context.CancelFunc
-	link    atomic.Pointer[link.Link]
+	// introduced tells that the address is the node's own word, not its row.
+	introduced bool
+	link       atomic.Pointer[link.Link]
 }
 
 func portText(port int) string { return strconv.Itoa(port) }
@@ -65,7 +67,7 @@
 		p.link.Store(l)
 		n.metrics.peersUp.Inc()
 		event.PeerUp.Log("peer", p.name, "address", p.address, "process", l.Peer.Process)
-		_ = l.Send(link.KindVersions, link.Versions{Tables: n.cache.Versions()}) // a lost link greets again
+		_ = l.Send(link.KindVersions, n.versions()) // a lost link greets again
 	})
 	if p.link.CompareAndSwap(l, nil) {
 		n.metrics.peersUp.Dec()
--- a/pkg/sidecar/peers.go
+++ b/pkg/sidecar/peers.go
@@ -26,6 +26,8 @@
 type peers struct {
 	node  *Node
 	known chan []rowcache.Row // newest node rows only
+	// introduced receives nodes that opened a link to this one.
+	introduced chan link.Hello
 
 	mu      sync.Mutex
 	dialed  map[string]*peer
@@ -36,7 +38,7 @@
 
 func newPeers(n *Node) *peers {
 	return &peers{
-		node: n, known: make(chan []rowcache.Row, 1),
+		node: n, known: make(chan []rowcache.Row, 1), introduced: make(chan link.Hello, introductions),
 		dialed: make(map[string]*peer), inbound: make(map[*link.Link]struct{}),
 	}
 }
@@ -62,6 +64,8 @@
 				continue
 			}
 			p.update(ctx, rows)
+		case hello := <-p.introduced:
+			p.answer(ctx, hello)
 		}
 	}
 }
@@ -96,7 +100,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for name, peer := range p.dialed {
-		if wanted[name] != peer.address {
+		if wanted[name] != peer.address && !(peer.introduced && wanted[name] == "" && p.linkedFrom(name)) {
 			peer.stop()
 			delete(p.dialed, name)
 		}
@@ -105,13 +109,41 @@
 		if _, ok := p.dialed[name]; ok {
 			continue
 		}
-		peerCtx, stop := context.WithCancel(ctx)
-		peer := &peer{name: name, address: address, peers: p, stop: stop}
-		p.dialed[name] = peer
-		go peer.run(peerCtx)
+		p.dial(ctx, name, address)
 	}
 }
 
+// dial starts to keep a link to a node. The caller holds mu.
+func (p *peers) dial(ctx context.Context, name, address string) *peer {
+	peerCtx, stop := context.WithCancel(ctx)
+	peer := &peer{name: name, address: address, peers: p, stop: stop}
+	p.dialed[name] = peer
+	go peer.run(peerCtx)
+	return peer
+}
+
+// answer opens a link to a node that has opened one, since its row may not have
+// arrived: the node may have registered just before the store went away.
+func (p *peers) answer(ctx context.Context, hello link.Hello) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, ok := p.dialed[hello.Node]; ok || hello.Node == p.node.settings.Node || !p.linkedFrom(hello.Node) {
+		return
+	}
+	p.dial(ctx, hello.Node, hello.Address).introduced = true
+	event.PeerIntroduced.Log("peer", hello.Node, "address", hello.Address)
+}
+
+// linkedFrom reports whether a node has a link to this one. The caller holds mu.
+func (p *peers) linkedFrom(name string) bool {
+	for l := range p.inbound {
+		if l.Peer.Node == name {
+			return true
+		}
+	}
+	return false
+}
+
 // row is the row of this node.
 func (n *Node) row() nodeRow {
 	return nodeRow{Address: net.JoinHostPort(n.settings.IP, portText(n.settings.PeerPort))}
@@ -166,6 +198,7 @@
 		p.mu.Lock()
 		p.inbound[l] = struct{}{}
 		p.mu.Unlock()
+		p.introduce(l.Peer)
 		p.greet(l)
 	})
 	p.mu.Lock()
@@ -173,16 +206,38 @@
 	p.mu.Unlock()
 }
 
+// introduce hands a node that opened a link to run.
+func (p *peers) introduce(hello link.Hello) {
+	if hello.Address == "" {
+		return
+	}
+	select {
+	case p.introduced <- hello:
+	default: // run is behind; the node's row or its next link will tell
+	}
+}
+
 // greet tells a peer the state of the server and of the copies.
 func (p *peers) greet(l *link.Link) {
 	_ = l.Send(link.KindServer, p.node.serverState(time.Now())) // a lost link greets again
-	_ = l.Send(link.KindVersions, link.Versions{Tables: p.node.cache.Versions()})
+	_ = l.Send(link.KindVersions, p.node.versions())
 	for _, e := range p.node.rollouts.Evidence() { // a restarted peer has none
 		_ = l.Send(link.KindEvidence, link.Evidence{Evidence: e})
 	}
 }
 
-func (n *Node) hello() link.Hello { return link.Hello{Node: n.settings.Node, Process: n.process} }
+func (n *Node) hello() link.Hello {
+	return link.Hello{Node: n.settings.Node, Process: n.process, Address: n.row().Address}
+}
+
+// versions tells how far the copies of this node are.
+func (n *Node) versions() link.Versions {
+	v := link.Versions{Tables: n.cache.Versions()}
+	if t := n.table.Load(); t != nil {
+		v.Configuration = t.Version
+	}
+	return v
+}
 
 // broadcast sends a frame to every node that has opened a link to this one.
 func (p *peers) broadcast(kind link.Kind, v any) {
@@ -195,7 +250,7 @@
 
 // announceVersions tells the peers how far the copies of this node are.
 func (p *peers) announceVersions() {
-	p.broadcast(link.KindVersions, link.Versions{Tables: p.node.cache.Versions()})
+	p.broadcast(link.KindVersions, p.node.versions())
 }
 
 // names returns the peers that this node can reach.
--- a/pkg/sidecar/tunables.go
+++ b/pkg/sidecar/tunables.go
@@ -26,6 +26,8 @@
 	// store's own feed before it asks the peer.
 	peerRowsDelay = 200 * time.Millisecond
 
+	// introductions bounds the nodes that wait to be dialed in return.
+	introductions = 64
 	// redialMin and redialMax bound the wait between two attempts to reach a peer.
 	redialMin = 20 * time.Millisecond
 	redialMax = time.Second
