Send large responses in parts, by urgency and no faster than the link carries

Requests whose client had left were repeated at another server. Change: pkg/uplink shares the link between all connections of a node; the gate refuses downloads that the link could not carry on time, loads report the backlog and placement uses it; a request whose client has left is not sent again.

--- a/pkg/entrance/action.go
+++ b/pkg/entrance/action.go
@@ -35,6 +35,8 @@
 	left     time.Duration
 	// maybeRan tells that a server may have started the request.
 	maybeRan bool
+	// gone tells that the client has left.
+	gone bool
 }
 
 // decide returns the action after an outcome. The caller still has to find a
@@ -43,6 +45,9 @@
 	if res.Answered() && res.Status < http.StatusInternalServerError {
 		return Answer
 	}
+	if s.gone {
+		return ending(s)
+	}
 	if res.Ran == reason.RanNo && !res.Arrived {
 		if s.placed < maxPlacements && s.left > minRepeatTime {
 			return Elsewhere
--- a/pkg/entrance/action_test.go
+++ b/pkg/entrance/action_test.go
@@ -24,19 +24,21 @@
 		res   call.Response
 		want  Action
 	}{
-		{"served", attemptState{routing.Safe, 2, 1, 1, second, true}, served, Answer},
-		{"refused by a gate", attemptState{routing.Unsafe, 2, 0, 1, second, false}, refused, Elsewhere},
-		{"refused by every gate", attemptState{routing.Unsafe, 2, 0, maxPlacements, second, false}, refused, Refuse},
-		{"refused after a run", attemptState{routing.Safe, 2, 1, maxPlacements, second, true}, refused, Fail},
-		{"shed, unsafe", attemptState{routing.Unsafe, 2, 1, 1, second, false}, shed, Repeat},
-		{"shed, attempts used", attemptState{routing.Unsafe, 2, 2, 2, second, false}, shed, Refuse},
-		{"lost, safe", attemptState{routing.Safe, 2, 1, 1, second, true}, lost, Repeat},
-		{"lost, unsafe", attemptState{routing.Unsafe, 2, 1, 1, second, true}, lost, Fail},
-		{"shed after a loss, unsafe", attemptState{routing.Unsafe, 3, 2, 2, second, true}, shed, Fail},
-		{"failed, safe", attemptState{routing.Download, 2, 1, 1, second, true}, failed, Repeat},
-		{"failed, unsafe", attemptState{routing.Unsafe, 2, 1, 1, second, true}, failed, Answer},
-		{"failed, no time", attemptState{routing.Safe, 2, 1, 1, 0, true}, failed, Answer},
-		{"lost, attempts used", attemptState{routing.Safe, 2, 2, 2, second, true}, lost, Fail},
+		{"served", attemptState{kind: routing.Safe, attempts: 2, arrivals: 1, placed: 1, left: second, maybeRan: true}, served, Answer},
+		{"refused by a gate", attemptState{kind: routing.Unsafe, attempts: 2, arrivals: 0, placed: 1, left: second, maybeRan: false}, refused, Elsewhere},
+		{"refused by every gate", attemptState{kind: routing.Unsafe, attempts: 2, arrivals: 0, placed: maxPlacements, left: second, maybeRan: false}, refused, Refuse},
+		{"refused after a run", attemptState{kind: routing.Safe, attempts: 2, arrivals: 1, placed: maxPlacements, left: second, maybeRan: true}, refused, Fail},
+		{"shed, unsafe", attemptState{kind: routing.Unsafe, attempts: 2, arrivals: 1, placed: 1, left: second, maybeRan: false}, shed, Repeat},
+		{"shed, attempts used", attemptState{kind: routing.Unsafe, attempts: 2, arrivals: 2, placed: 2, left: second, maybeRan: false}, shed, Refuse},
+		{"lost, safe", attemptState{kind: routing.Safe, attempts: 2, arrivals: 1, placed: 1, left: second, maybeRan: true}, lost, Repeat},
+		{"lost, unsafe", attemptState{kind: routing.Unsafe, attempts: 2, arrivals: 1, placed: 1, left: second, maybeRan: true}, lost, Fail},
+		{"shed after a loss, unsafe", attemptState{kind: routing.Unsafe, attempts: 3, arrivals: 2, placed: 2, left: second, maybeRan: true}, shed, Fail},
+		{"failed, safe", attemptState{kind: routing.Download, attempts: 2, arrivals: 1, placed: 1, left: second, maybeRan: true}, failed, Repeat},
+		{"failed, unsafe", attemptState{kind: routing.Unsafe, attempts: 2, arrivals: 1, placed: 1, left: second, maybeRan: true}, failed, Answer},
+		{"failed, no time", attemptState{kind: routing.Safe, attempts: 2, arrivals: 1, placed: 1, left: 0, maybeRan: true}, failed, Answer},
+		{"refused, client gone", attemptState{kind: routing.Safe, attempts: 2, placed: 1, left: second, gone: true}, refused, Refuse},
+		{"lost, client gone", attemptState{kind: routing.Safe, attempts: 2, arrivals: 1, placed: 1, left: second, maybeRan: true, gone: true}, lost, Fail},
+		{"lost, attempts used", attemptState{kind: routing.Safe, attempts: 2, arrivals: 2, placed: 2, left: second, maybeRan: true}, lost, Fail},
 	}
 	for _, test := range tests {
 		if got := decide(test.state, test.res); got != test.want {
--- a/pkg/entrance/exchange.go
+++ b/pkg/entrance/exchange.go
@@ -38,11 +38,11 @@
 			return x.end()
 		}
 		res := x.send(ctx, choice)
-		action := decide(x.state(), res)
+		action := decide(x.state(ctx), res)
 		x.entrance.logOutcome(x, choice, res, action)
 		if action == Repeat && !budget.TryTake() {
 			x.entrance.opts.Metrics.refused(reason.RetryBudget)
-			action = ending(x.state())
+			action = ending(x.state(ctx))
 			if res.Answered() {
 				action = Answer
 			}
@@ -100,15 +100,16 @@
 	return res
 }
 
-func (x *exchange) state() attemptState {
+func (x *exchange) state(ctx context.Context) attemptState {
 	return attemptState{
 		kind: x.req.Kind, attempts: x.route.Attempts, arrivals: x.arrivals, placed: len(x.tried),
 		left: time.Until(x.req.Deadline), maybeRan: x.maybeRan,
+		gone: ctx.Err() != nil,
 	}
 }
 
 func (x *exchange) answer(res call.Response) ingress.Response {
-	return ingress.Response{Status: res.Status, Head: res.Head, Body: res.Body}
+	return ingress.Response{Status: res.Status, Head: res.Head, Body: res.Body, By: x.req.Target}
 }
 
 // end answers a request that no server has served.
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -11,6 +11,7 @@
 	"corianderwood.example/corianderwood/pkg/instance"
 	"corianderwood.example/corianderwood/pkg/ledger"
 	"corianderwood.example/corianderwood/pkg/reason"
+	"corianderwood.example/corianderwood/pkg/uplink"
 )
 
 // Options of a gate.
@@ -22,6 +23,7 @@
 	Drain    time.Duration
 	Observer Observer
 	Running  *InProgress
+	Uplink   *uplink.Scheduler
 }
 
 // Gate runs requests at the server beside the node. It is safe for concurrent
@@ -32,13 +34,14 @@
 	mu      sync.Mutex
 	line    *Line
 	times   *serviceTimes
+	sizes   *responseSizes
 	failing float64 // recent share of failed requests
 	closed  bool
 }
 
 // New returns a gate that refuses until the tracker knows a server.
 func New(opts Options) *Gate {
-	return &Gate{opts: opts, line: NewLine(0), times: newServiceTimes()}
+	return &Gate{opts: opts, line: NewLine(0), times: newServiceTimes(), sizes: newResponseSizes()}
 }
 
 // Do runs the request at the server, or refuses it. A request that must not run
@@ -48,6 +51,7 @@
 	if refused != nil {
 		return g.withLoad(*refused)
 	}
+	defer job.release()
 	if why, after := g.await(ctx, job); why != "" {
 		return g.withLoad(call.Refused(why, after))
 	}
@@ -60,7 +64,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	running, waiting, slots := g.line.Load()
-	return call.Load{Running: running, Waiting: waiting, Slots: slots, ServiceTime: g.times.mean(), FailureRate: g.failing}
+	return call.Load{Running: running, Waiting: waiting, Slots: slots, ServiceTime: g.times.mean(), FailureRate: g.failing, Uplink: g.opts.Uplink.Backlog(time.Now())}
 }
 
 // ServerChanged applies a new incarnation or state of the server to the line.
@@ -118,12 +122,30 @@
 	}
 	cost := g.times.of(req.Route)
 	job := NewJob(rank(req), cost, latestStart(now, req, cost))
-	if why, after := g.line.Offer(now, job); why != "" {
+	if why, after := g.offer(now, req, job); why != "" {
 		return refuse(why, after)
 	}
 	return job, server, nil
 }
 
+// offer offers the job to the line unless the link could not carry its response on
+// time, and reserves the link for the response. The caller holds mu.
+func (g *Gate) offer(now time.Time, req *call.Request, job *Job) (reason.Refusal, time.Duration) {
+	size := g.sizes.of(req.Route)
+	if size < uplink.PartBytes {
+		return g.line.Offer(now, job)
+	}
+	backlog := g.opts.Uplink.Backlog(now)
+	if late := transmissionEnd(now, backlog, job.Cost, g.opts.Uplink.Duration(size)).Sub(req.Target); late > 0 {
+		return reason.UplinkFull, min(max(late, minRetryAfter), maxRetryAfter)
+	}
+	why, after := g.line.Offer(now, job)
+	if why == "" {
+		job.release = g.opts.Uplink.Reserve(size)
+	}
+	return why, after
+}
+
 // await waits for the job's turn.
 func (g *Gate) await(ctx context.Context, job *Job) (reason.Refusal, time.Duration) {
 	select {
@@ -228,6 +250,7 @@
 	g.mu.Lock()
 	if res.Answered() {
 		g.times.observe(req.Route, took)
+		g.sizes.observe(req.Route, len(res.Body))
 	}
 	g.failing += failureWeight * (failed - g.failing)
 	g.mu.Unlock()
--- a/pkg/gate/job.go
+++ b/pkg/gate/job.go
@@ -15,6 +15,8 @@
 	// Latest is when the request must have started to be worth running.
 	Latest time.Time
 
+	// release gives back what is reserved of the link.
+	release func()
 	order   uint64
 	started time.Time
 	// decided receives "" when the job may run, or the reason why it may not.
@@ -23,5 +25,5 @@
 
 // NewJob returns a job for Line.Offer.
 func NewJob(rank int, cost time.Duration, latest time.Time) *Job {
-	return &Job{Rank: rank, Cost: cost, Latest: latest, decided: make(chan reason.Refusal, 1)}
+	return &Job{Rank: rank, Cost: cost, Latest: latest, decided: make(chan reason.Refusal, 1), release: func() {}}
 }
--- a/pkg/gate/rank.go
+++ b/pkg/gate/rank.go
@@ -34,4 +34,10 @@
 	return onTime
 }
 
+// transmissionEnd returns when a large response would have left the link: it is sent
+// once the server has made it and the link is free of what it has to carry before.
+func transmissionEnd(now time.Time, backlog, service, transmission time.Duration) time.Time {
+	return now.Add(max(backlog, service) + transmission)
+}
+
 func formatBorn(born int64) string { return strconv.FormatInt(born, 36) }
--- a/pkg/gate/tunables.go
+++ b/pkg/gate/tunables.go
@@ -8,6 +8,8 @@
 	initialServiceTime = 80 * time.Millisecond
 	// serviceTimeWeight is the weight of one observation in the mean.
 	serviceTimeWeight = 0.1
+	// responseSizeWeight is the weight of one response in a route's mean size.
+	responseSizeWeight = 0.1
 	// failureWeight is the weight of one outcome in the failure rate, so that
 	// about twenty requests decide it.
 	failureWeight = 0.08
--- a/pkg/ingress/conn.go
+++ b/pkg/ingress/conn.go
@@ -49,7 +49,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var writer sync.WaitGroup
-	writer.Go(func() { c.write() })
+	writer.Go(func() { c.write(ctx) })
 	left := c.read(ctx)
 	close(c.order)
 	if left {
@@ -235,7 +235,7 @@
 }
 
 // write sends the responses in the order of their requests.
-func (c *conn) write() {
+func (c *conn) write(ctx context.Context) {
 	var out []byte
 	broken := false
 	for e := range c.order {
@@ -244,7 +244,7 @@
 		if !broken {
 			out = res.append(out[:0], e.req.Method, closing)
 			_ = c.inner.SetWriteDeadline(time.Now().Add(writeTimeout))
-			if _, err := c.inner.Write(out); err != nil {
+			if err := c.server.uplink.Write(ctx, c.inner, out, res.By); err != nil {
 				broken = true
 				_ = c.inner.Close() // ends the reader, which ends the requests
 			}
--- a/pkg/ingress/response.go
+++ b/pkg/ingress/response.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"time"
 )
 
 // Response is the answer to one request.
@@ -12,6 +13,9 @@
 	// concern the connection or the length.
 	Head []byte
 	Body []byte
+	// By is when the client should have the response; the most urgent of several
+	// large ones goes first.
+	By time.Time
 	// Close asks to close the connection after the response.
 	Close bool
 }
--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 
 	"corianderwood.example/corianderwood/pkg/routing"
+	"corianderwood.example/corianderwood/pkg/uplink"
 )
 
 // Handler answers requests. The context ends when the client has left.
@@ -22,6 +23,7 @@
 type Server struct {
 	handler Handler
 	limits  func() routing.Limits
+	uplink  *uplink.Scheduler
 	closing atomic.Bool
 	pending atomic.Int64
 
@@ -29,9 +31,10 @@
 	conns map[*conn]struct{}
 }
 
-// NewServer returns a server. limits returns the limits in force.
-func NewServer(handler Handler, limits func() routing.Limits) *Server {
-	return &Server{handler: handler, limits: limits, conns: make(map[*conn]struct{})}
+// NewServer returns a server. limits returns the limits in force; the scheduler plans
+// what the node sends.
+func NewServer(handler Handler, limits func() routing.Limits, up *uplink.Scheduler) *Server {
+	return &Server{handler: handler, limits: limits, uplink: up, conns: make(map[*conn]struct{})}
 }
 
 // Serve accepts connections until the listener is closed.
--- a/pkg/ingress/server_test.go
+++ b/pkg/ingress/server_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"corianderwood.example/corianderwood/pkg/routing"
+	"corianderwood.example/corianderwood/pkg/uplink"
 )
 
 // handlerFunc serves requests by a function.
@@ -26,7 +27,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := NewServer(f, func() routing.Limits { return routing.DefaultLimits })
+	s := NewServer(f, func() routing.Limits { return routing.DefaultLimits }, uplink.New(0))
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(func() { cancel(); _ = l.Close() })
 	go func() { _ = s.Serve(ctx, l) }()
--- a/pkg/link/codec.go
+++ b/pkg/link/codec.go
@@ -66,6 +66,7 @@
 		Arrived: r.Arrived, RetryAfter: r.RetryAfter.Microseconds(),
 		Running: r.Load.Running, Waiting: r.Load.Waiting, Slots: r.Load.Slots,
 		ServiceTime: r.Load.ServiceTime.Microseconds(), FailureRate: r.Load.FailureRate,
+		Uplink: r.Load.Uplink.Microseconds(),
 	}
 }
 
@@ -76,6 +77,7 @@
 		Load: call.Load{
 			Running: f.Running, Waiting: f.Waiting, Slots: f.Slots,
 			ServiceTime: time.Duration(f.ServiceTime) * time.Microsecond, FailureRate: f.FailureRate,
+			Uplink: time.Duration(f.Uplink) * time.Microsecond,
 		},
 	}
 }
--- a/pkg/link/frames.go
+++ b/pkg/link/frames.go
@@ -29,6 +29,8 @@
 	Leaving bool `cbor:"7,keyasint,omitempty"`
 	// WarmUpMs is how much longer the server is slow, in milliseconds.
 	WarmUpMs int64 `cbor:"8,keyasint,omitempty"`
+	// LinkBytesPerSecond is the rate of the instance's network link; 0 is unknown.
+	LinkBytesPerSecond float64 `cbor:"9,keyasint,omitempty"`
 }
 
 // requestFrame carries a call.Request; times are what is left, in microseconds.
@@ -66,6 +68,7 @@
 	Slots       int
 	ServiceTime int64
 	FailureRate float64
+	Uplink      int64
 }
 
 // cancelFrame ends a request whose caller has left.
--- a/pkg/link/kind.go
+++ b/pkg/link/kind.go
@@ -17,4 +17,6 @@
 	KindOutcomeWanted
 	KindPing
 	KindPong
+	// KindPart carries a part of a large frame.
+	KindPart
 )
--- a/pkg/link/link.go
+++ b/pkg/link/link.go
@@ -14,6 +14,7 @@
 	"corianderwood.example/corianderwood/pkg/call"
 	"corianderwood.example/corianderwood/pkg/ledger"
 	"corianderwood.example/corianderwood/pkg/reason"
+	"corianderwood.example/corianderwood/pkg/uplink"
 )
 
 // ErrBehind means that the peer does not read as fast as frames are sent.
@@ -26,15 +27,22 @@
 	Peer    Hello
 	conn    net.Conn
 	handler Handler
+	uplink  *uplink.Scheduler
 	out     chan []byte
+	large   chan *transfer
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
 	heard   atomic.Int64 // Unix nanoseconds of the last received bytes
 
+	transfers  atomic.Uint64        // identifies large frames
+	assemblies map[uint64]*assembly // large frames on their way here; the reader's
+
 	mu       sync.Mutex
 	sequence uint64
 	pending  map[uint64]pendingCall
 	serving  map[uint64]context.CancelFunc
+	// responding holds the large responses that wait to be sent, by request.
+	responding map[uint64]*transfer
 }
 
 type pendingCall struct {
@@ -42,8 +50,9 @@
 	done  chan call.Response
 }
 
-// Open exchanges greetings on a new connection. Run must be called next.
-func Open(ctx context.Context, conn net.Conn, self Hello, handler Handler) (*Link, error) {
+// Open exchanges greetings on a new connection. Run must be called next. The
+// scheduler plans what all links of the node send.
+func Open(ctx context.Context, conn net.Conn, self Hello, handler Handler, up *uplink.Scheduler) (*Link, error) {
 	hello, err := encode(KindHello, self)
 	if err != nil {
 		return nil, err
@@ -53,8 +62,10 @@
 		return nil, err
 	}
 	l := &Link{
-		conn: conn, handler: handler, out: make(chan []byte, outboundFrames),
+		conn: conn, handler: handler, uplink: up,
+		out: make(chan []byte, outboundFrames), large: make(chan *transfer, outboundTransfers),
 		pending: make(map[uint64]pendingCall), serving: make(map[uint64]context.CancelFunc),
+		assemblies: make(map[uint64]*assembly), responding: make(map[uint64]*transfer),
 	}
 	l.ctx, l.cancel = context.WithCancelCause(ctx)
 	return l, nil
@@ -94,24 +105,24 @@
 // Do sends a request to the peer's server and waits for the outcome. When the
 // link is lost, the outcome is unknown.
 func (l *Link) Do(ctx context.Context, req *call.Request) call.Response {
-	return l.ask(ctx, KindRequest, func(seq uint64) any { return newRequestFrame(seq, time.Now(), req) })
+	return l.ask(ctx, KindRequest, func(seq uint64) any { return newRequestFrame(seq, time.Now(), req) }, urgency{by: req.Target, until: req.Deadline})
 }
 
 // Outcome asks what became of a call that an earlier link carried.
 func (l *Link) Outcome(ctx context.Context, id ledger.CallID, deadline time.Time) call.Response {
 	return l.ask(ctx, KindOutcomeWanted, func(seq uint64) any {
 		return outcomeFrame{Sequence: seq, Call: id, Left: time.Until(deadline).Microseconds()}
-	})
+	}, urgency{by: deadline, until: deadline})
 }
 
-func (l *Link) ask(ctx context.Context, kind Kind, frame func(uint64) any) call.Response {
+func (l *Link) ask(ctx context.Context, kind Kind, frame func(uint64) any, u urgency) call.Response {
 	done := make(chan call.Response, 1)
 	l.mu.Lock()
 	l.sequence++
 	seq := l.sequence
 	l.pending[seq] = pendingCall{since: time.Now(), done: done}
 	l.mu.Unlock()
-	if err := l.Send(kind, frame(seq)); err != nil {
+	if err := l.send(kind, frame(seq), u); err != nil {
 		l.forget(seq)
 		return call.Refused(reason.PeerConnect, 0)
 	}
@@ -138,6 +149,11 @@
 
 // Send queues one frame. It never blocks.
 func (l *Link) Send(kind Kind, v any) error {
+	return l.send(kind, v, urgency{by: time.Now().Add(controlTarget)})
+}
+
+// send queues one frame. The urgency matters for large frames only.
+func (l *Link) send(kind Kind, v any, u urgency) error {
 	if l.ctx.Err() != nil {
 		return context.Cause(l.ctx)
 	}
@@ -145,6 +161,9 @@
 	if err != nil {
 		return err
 	}
+	if len(frame) >= uplink.PartBytes {
+		return l.enqueue(frame, u)
+	}
 	select {
 	case l.out <- frame:
 		return nil
@@ -172,42 +191,6 @@
 	}
 }
 
-// write sends queued frames.
-func (l *Link) write() {
-	for {
-		select {
-		case frame := <-l.out:
-			if err := l.writeBatch(frame); err != nil {
-				l.cancel(err)
-				return
-			}
-		case <-l.ctx.Done():
-			return
-		}
-	}
-}
-
-// writeBatch sends a frame with those that wait behind it. Each part has a
-// timeout of its own, since a large response on a narrow link takes seconds.
-func (l *Link) writeBatch(frame []byte) error {
-	batch := frame[:len(frame):len(frame)]
-	for range len(l.out) {
-		if len(batch) >= writePart {
-			break
-		}
-		batch = append(batch, <-l.out...)
-	}
-	for len(batch) > 0 {
-		n := min(len(batch), writePart)
-		_ = l.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-		if _, err := l.conn.Write(batch[:n]); err != nil {
-			return err
-		}
-		batch = batch[n:]
-	}
-	return nil
-}
-
 // watch checks a link whose requests stay without any sign of the peer, because
 // a connection can go silent while new ones work.
 func (l *Link) watch() {
--- a/pkg/link/link_test.go
+++ b/pkg/link/link_test.go
@@ -14,6 +14,7 @@
 	"corianderwood.example/corianderwood/pkg/ledger"
 	"corianderwood.example/corianderwood/pkg/reason"
 	"corianderwood.example/corianderwood/pkg/routing"
+	"corianderwood.example/corianderwood/pkg/uplink"
 )
 
 // stub is a handler whose requests are run by do.
@@ -59,12 +60,12 @@
 	go forward(b, c)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	far, err := Open(ctx, d, Hello{Node: "far"}, stub{do})
+	far, err := Open(ctx, d, Hello{Node: "far"}, stub{do}, uplink.New(0))
 	if err != nil {
 		t.Fatal(err)
 	}
 	go func() { _ = far.Run(func(*Link) {}) }()
-	l, err = Open(ctx, a, Hello{Node: "near"}, stub{})
+	l, err = Open(ctx, a, Hello{Node: "near"}, stub{}, uplink.New(0))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -173,7 +174,7 @@
 	a, b := tcpPair(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	l, err := Open(ctx, a, Hello{Node: "near"}, stub{})
+	l, err := Open(ctx, a, Hello{Node: "near"}, stub{}, uplink.New(0))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -203,7 +204,7 @@
 // Guards against a peer that stops a node by frames that are no frames.
 func TestMalformedGreeting(t *testing.T) {
 	a, b := tcpPair(t)
-	l, err := Open(context.Background(), a, Hello{}, stub{})
+	l, err := Open(context.Background(), a, Hello{}, stub{}, uplink.New(0))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/pkg/link/read.go
+++ b/pkg/link/read.go
@@ -36,12 +36,16 @@
 
 func (l *Link) dispatch(kind Kind, body []byte) error {
 	switch kind {
+	case KindPart:
+		if whole, content, ok := l.collect(body); ok {
+			return l.dispatch(whole, content)
+		}
 	case KindResponse:
 		return decode(body, l.respond)
 	case KindRequest:
 		return decode(body, l.serve)
 	case KindCancel:
-		return decode(body, func(f cancelFrame) { l.endServing(f.Sequence) })
+		return decode(body, func(f cancelFrame) { l.cancelServing(f.Sequence) })
 	case KindOutcomeWanted:
 		return decode(body, l.serveOutcome)
 	case KindServer:
@@ -81,16 +85,17 @@
 
 func (l *Link) serve(f requestFrame) {
 	req := f.request(time.Now())
-	l.start(f.Sequence, req.Deadline, func(ctx context.Context) call.Response { return l.handler.Do(ctx, req) })
+	l.start(f.Sequence, req.Target, req.Deadline, func(ctx context.Context) call.Response { return l.handler.Do(ctx, req) })
 }
 
 func (l *Link) serveOutcome(f outcomeFrame) {
 	deadline := time.Now().Add(time.Duration(f.Left) * time.Microsecond)
-	l.start(f.Sequence, deadline, func(ctx context.Context) call.Response { return l.handler.Outcome(ctx, f.Call) })
+	l.start(f.Sequence, deadline, deadline, func(ctx context.Context) call.Response { return l.handler.Outcome(ctx, f.Call) })
 }
 
-// start runs work for the peer until its deadline, a cancel or the link's end.
-func (l *Link) start(sequence uint64, deadline time.Time, work func(context.Context) call.Response) {
+// start runs work for the peer until its deadline, a cancel or the link's end. The
+// response should be sent by the target.
+func (l *Link) start(sequence uint64, target, deadline time.Time, work func(context.Context) call.Response) {
 	ctx, cancel := context.WithDeadline(l.ctx, deadline.Add(answerMargin))
 	l.mu.Lock()
 	l.serving[sequence] = cancel
@@ -98,10 +103,17 @@
 	go func() {
 		res := work(ctx)
 		l.endServing(sequence)
-		_ = l.Send(KindResponse, newResponseFrame(sequence, res)) // a lost link fails the call at the peer
+		urgency := urgency{by: target, until: deadline, response: sequence}
+		_ = l.send(KindResponse, newResponseFrame(sequence, res), urgency) // a lost link fails the call at the peer
 	}()
 }
 
+// cancelServing ends work for a caller that has left, and what is left to send.
+func (l *Link) cancelServing(sequence uint64) {
+	l.endServing(sequence)
+	l.drop(sequence)
+}
+
 func (l *Link) endServing(sequence uint64) {
 	l.mu.Lock()
 	cancel, ok := l.serving[sequence]
--- a/pkg/placement/board.go
+++ b/pkg/placement/board.go
@@ -12,7 +12,7 @@
 // Board holds the servers that take requests. It is safe for concurrent use; mu
 // guards the state.
 type Board struct {
-	local string // failure domain of this node
+	place Place
 
 	mu    sync.Mutex
 	rnd   *rand.Rand
@@ -20,9 +20,9 @@
 	sizes map[string]float64 // mean response size by route, in bytes
 }
 
-// NewBoard returns a board without servers for a node in a failure domain.
-func NewBoard(failureDomain string, rnd *rand.Rand) *Board {
-	return &Board{local: failureDomain, rnd: rnd, nodes: make(map[string]*node), sizes: make(map[string]float64)}
+// NewBoard returns a board without servers for a node at a place.
+func NewBoard(place Place, rnd *rand.Rand) *Board {
+	return &Board{place: place, rnd: rnd, nodes: make(map[string]*node), sizes: make(map[string]float64)}
 }
 
 // Set makes a node's server available. What was observed of another incarnation
@@ -81,7 +81,7 @@
 	bestCost := 0.0
 	size := b.sizes[q.Route]
 	for _, n := range b.sample(now, candidates, size) {
-		cost := n.cost(now, b.local, size, usual) * (1 + jitter*b.rnd.Float64())
+		cost := n.cost(now, b.place, size, usual) * (1 + jitter*b.rnd.Float64())
 		if best == nil || cost < bestCost {
 			best, bestCost = n, cost
 		}
@@ -107,32 +107,38 @@
 
 // sample draws candidates in proportion to their capacity. Comparing a few drawn
 // ones instead of all keeps nodes whose reports are old from crowding one server.
-// For large responses one is drawn from the own failure domain.
+// For large responses the node's own server is compared if it is a candidate, which
+// saves the link between two instances, and otherwise one of the own failure domain.
 func (b *Board) sample(now time.Time, candidates []*node, size float64) []*node {
 	if len(candidates) <= sampleSize {
 		return candidates
 	}
 	drawn := 0
 	if size >= largeResponse {
-		local := func(n *node) bool { return n.server.FailureDomain == b.local }
-		if i := b.draw(now, candidates, local); i >= 0 {
+		own := func(n *node) bool { return n.name == b.place.Node }
+		local := func(n *node) bool { return n.server.FailureDomain == b.place.FailureDomain }
+		i := b.draw(now, candidates, size, own)
+		if i < 0 {
+			i = b.draw(now, candidates, size, local)
+		}
+		if i >= 0 {
 			candidates[0], candidates[i] = candidates[i], candidates[0]
 			drawn = 1
 		}
 	}
 	for ; drawn < sampleSize; drawn++ {
-		i := drawn + b.draw(now, candidates[drawn:], func(*node) bool { return true })
+		i := drawn + b.draw(now, candidates[drawn:], size, func(*node) bool { return true })
 		candidates[drawn], candidates[i] = candidates[i], candidates[drawn]
 	}
 	return candidates[:sampleSize]
 }
 
 // draw returns the index of a candidate drawn by capacity; -1 if none fits.
-func (b *Board) draw(now time.Time, candidates []*node, fits func(*node) bool) int {
+func (b *Board) draw(now time.Time, candidates []*node, size float64, fits func(*node) bool) int {
 	total, last := 0.0, -1
 	for i, n := range candidates {
 		if fits(n) {
-			total += n.capacity(now)
+			total += n.capacity(now, size)
 			last = i
 		}
 	}
@@ -141,7 +147,7 @@
 		if !fits(n) {
 			continue
 		}
-		if at -= n.capacity(now); at <= 0 {
+		if at -= n.capacity(now, size); at <= 0 {
 			return i
 		}
 	}
--- a/pkg/placement/node.go
+++ b/pkg/placement/node.go
@@ -14,6 +14,14 @@
 	Do(ctx context.Context, req *call.Request) call.Response
 }
 
+// Place is where the node that chooses servers runs.
+type Place struct {
+	Node          string
+	FailureDomain string
+	// LinkBytesPerSecond is the rate of the instance's network link; 0 is unknown.
+	LinkBytesPerSecond float64
+}
+
 // Server is what a node says of the server beside it.
 type Server struct {
 	Service       string
@@ -21,6 +29,9 @@
 	Incarnation   string
 	FailureDomain string
 	Slots         int
+	// LinkBytesPerSecond is the rate of the network link of the server's instance; 0
+	// is unknown.
+	LinkBytesPerSecond float64
 	// WarmUntil is when the server reaches its full speed.
 	WarmUntil time.Time
 }
@@ -53,8 +64,15 @@
 // slots is how many requests the server runs at once.
 func (n *node) slots() float64 { return float64(max(n.server.Slots, 1)) }
 
-// capacity is how many requests a second the server can run.
-func (n *node) capacity(now time.Time) float64 { return n.slots() / n.serviceTime(now) }
+// capacity is how many requests a second the server can run and its link can carry
+// the responses of, which are of the given size in bytes.
+func (n *node) capacity(now time.Time, size float64) float64 {
+	capacity := n.slots() / n.serviceTime(now)
+	if rate := n.server.LinkBytesPerSecond; rate > 0 && size >= largeResponse {
+		capacity = min(capacity, rate/size)
+	}
+	return capacity
+}
 
 // utilisation is the last reported number of requests per slot.
 func (n *node) utilisation() float64 {
@@ -64,7 +82,7 @@
 // cost estimates the time until a response, in seconds, for comparison only.
 // usual is the mean utilisation of the service's servers: what was reported of a
 // server fades towards it, since its requests end and others arrive.
-func (n *node) cost(now time.Time, local string, size, usual float64) float64 {
+func (n *node) cost(now time.Time, from Place, size, usual float64) float64 {
 	serve, slots := n.serviceTime(now), n.slots()
 	age := now.Sub(n.reportedAt).Seconds()
 	usual *= slots
@@ -77,8 +95,26 @@
 	}
 	failing := n.load.FailureRate / (1 + age/failureMemory.Seconds())
 	cost += failurePenalty * failing * serve
-	if n.server.FailureDomain != local {
+	if size >= largeResponse {
+		cost += n.transmission(age, from, size)
+	}
+	if n.server.FailureDomain != from.FailureDomain {
 		cost += crossDomainDelay.Seconds() + size*crossDomainPerByte.Seconds()
 	}
 	return cost
 }
+
+// transmission estimates the time, in seconds, until a large response has passed the
+// links of the server's instance and, from another one, of this node.
+func (n *node) transmission(age float64, from Place, size float64) float64 {
+	backlog := max(n.load.Uplink.Seconds()-age, 0)
+	rate := n.server.LinkBytesPerSecond
+	if n.name == from.Node || rate <= 0 {
+		return backlog
+	}
+	took := backlog + size*float64(1+n.inFlight)/rate
+	if from.LinkBytesPerSecond > 0 {
+		took += size / from.LinkBytesPerSecond
+	}
+	return took
+}
--- a/pkg/placement/replay_test.go
+++ b/pkg/placement/replay_test.go
@@ -75,7 +75,7 @@
 	servers := make([]*simServer, len(p.speeds))
 	boards := make([]*Board, p.origins)
 	for i := range boards {
-		boards[i] = NewBoard("a", rand.New(rand.NewPCG(seed, uint64(i))))
+		boards[i] = NewBoard(Place{FailureDomain: "a"}, rand.New(rand.NewPCG(seed, uint64(i))))
 	}
 	capacity := 0.0
 	for i, speed := range p.speeds {
--- a/pkg/reason/reason.go
+++ b/pkg/reason/reason.go
@@ -10,6 +10,7 @@
 	NoRoute          Refusal = "no-route"          // no route matches the request
 	NoUpstream       Refusal = "no-upstream"       // no usable upstream of the service is known
 	QueueFull        Refusal = "queue-full"        // the bounded queue of the upstream's node is full
+	UplinkFull       Refusal = "uplink-full"       // the instance's network link could not carry the response on time
 	QueueDeadline    Refusal = "queue-deadline"    // the call could not finish before its deadline
 	ConnectionLimit  Refusal = "connection-limit"  // the server's connection limit is reached
 	Draining         Refusal = "draining"          // the upstream or its node is leaving
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -19,6 +19,7 @@
 	"corianderwood.example/corianderwood/pkg/rollout"
 	"corianderwood.example/corianderwood/pkg/routing"
 	"corianderwood.example/corianderwood/pkg/rowcache"
+	"corianderwood.example/corianderwood/pkg/uplink"
 )
 
 // Node is one node of the mesh on the deployment's instances. Every field is set
@@ -38,6 +39,7 @@
 	entrance *entrance.Entrance
 	ingress  *ingress.Server
 	peers    *peers
+	uplink   *uplink.Scheduler
 	metrics  *metrics
 	registry *prometheus.Registry
 
@@ -54,24 +56,25 @@
 		settings: s, deploy: d, process: rand.Uint64(),
 		cache:     rowcache.New(d.Translator.Table(), meshTable),
 		tracker:   instance.NewTracker(heartbeatsMissed * s.Heartbeat),
-		board:     placement.NewBoard(s.FailureDomain, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		board:     placement.NewBoard(placement.Place{Node: s.Node, FailureDomain: s.FailureDomain, LinkBytesPerSecond: s.LinkBytesPerSecond}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		rollouts:  rollout.NewTracker(rollout.Bounds{Share: s.Bounds.ExposureShare, Extra: s.Bounds.ExposureExtra}),
 		registry:  prometheus.NewRegistry(),
 		malformed: rate.NewLimiter(malformedLogRate, malformedLogRate),
 	}
+	n.uplink = uplink.New(s.LinkBytesPerSecond)
 	n.recorder = rollout.NewRecorder(n.process)
 	n.metrics = newMetrics(n.registry, d.DroppedLogLines)
 	n.running = gate.NewInProgress()
 	n.gate = gate.New(gate.Options{
 		Tracker: n.tracker, Client: backend.NewClient(s.ServerAddress, d.Headers),
 		Ledger: ledger.New(ledger.Options{Metrics: ledger.NewMetrics(n.registry)}),
-		Drain:  s.Bounds.Drain, Observer: (*observer)(n), Running: n.running,
+		Drain:  s.Bounds.Drain, Observer: (*observer)(n), Running: n.running, Uplink: n.uplink,
 	})
 	n.entrance = entrance.New(entrance.Options{
 		Service: s.Service, Nested: n.nested, Headers: d.Headers, Stopping: n.refusing.Load, Table: n.table.Load,
 		Board: n.board, Rollouts: n.rollouts, Process: n.process, Metrics: entrance.NewMetrics(n.registry),
 	})
-	n.ingress = ingress.NewServer(n.entrance, n.limits)
+	n.ingress = ingress.NewServer(n.entrance, n.limits, n.uplink)
 	n.peers = newPeers(n)
 	return n
 }
--- a/pkg/sidecar/peer.go
+++ b/pkg/sidecar/peer.go
@@ -58,7 +58,7 @@
 		return err
 	}
 	n := p.peers.node
-	l, err := link.Open(ctx, conn, n.hello(), (*handler)(n))
+	l, err := link.Open(ctx, conn, n.hello(), (*handler)(n), n.uplink)
 	if err != nil {
 		_ = conn.Close()
 		return err
--- a/pkg/sidecar/peers.go
+++ b/pkg/sidecar/peers.go
@@ -189,7 +189,7 @@
 
 // serve runs one link that another node has opened.
 func (p *peers) serve(ctx context.Context, conn net.Conn) {
-	l, err := link.Open(ctx, conn, p.node.hello(), (*handler)(p.node))
+	l, err := link.Open(ctx, conn, p.node.hello(), (*handler)(p.node), p.node.uplink)
 	if err != nil {
 		_ = conn.Close()
 		return
--- a/pkg/sidecar/server.go
+++ b/pkg/sidecar/server.go
@@ -29,7 +29,7 @@
 	}
 	return link.Server{
 		Known: true, Service: s.Service, Version: s.Version, Incarnation: gate.Incarnation(s),
-		FailureDomain: s.FailureDomain, Slots: s.Slots, WarmUpMs: s.WarmUp.Milliseconds(),
+		FailureDomain: s.FailureDomain, Slots: s.Slots, WarmUpMs: s.WarmUp.Milliseconds(), LinkBytesPerSecond: n.settings.LinkBytesPerSecond,
 		Leaving: s.State != instance.Ready || n.closing.Load(),
 	}
 }
@@ -44,7 +44,7 @@
 	n.rollouts.Sighted(now, s.Service, s.Version)
 	n.board.Set(name, g, placement.Server{
 		Service: s.Service, Version: s.Version, Incarnation: s.Incarnation, FailureDomain: s.FailureDomain,
-		Slots: s.Slots, WarmUntil: now.Add(time.Duration(s.WarmUpMs) * time.Millisecond),
+		Slots: s.Slots, LinkBytesPerSecond: s.LinkBytesPerSecond, WarmUntil: now.Add(time.Duration(s.WarmUpMs) * time.Millisecond),
 	})
 }
 
--- a/pkg/sidecar/settings.go
+++ b/pkg/sidecar/settings.go
@@ -27,6 +27,8 @@
 	Heartbeat time.Duration
 	Bounds    Bounds
 	MemoryMB  int
+	// LinkBytesPerSecond is the rate of the instance's network link; 0 is unknown.
+	LinkBytesPerSecond float64
 }
 
 // Check returns an error that names the first missing or wrong setting.
@@ -53,6 +55,9 @@
 	if s.PeerPort <= 0 || s.MetricsPort <= 0 || s.PeerPort == s.MetricsPort {
 		return oops.Errorf("the port for peers, %d, and the port for metrics, %d, must be set and differ", s.PeerPort, s.MetricsPort)
 	}
+	if s.LinkBytesPerSecond < 0 {
+		return oops.Errorf("the rate of the network link is %v; it must not be negative", s.LinkBytesPerSecond)
+	}
 	if s.Heartbeat <= 0 {
 		return oops.Errorf("setting \"heartbeat\" must be above zero")
 	}
