Let two nodes of each failure domain follow the store's feeds for all

Change: followers by speed of their links, rows passed on compressed, stand-ins when followers fail or fall silent; the scheduler treats an unused link as free; responses count the way from the entrance to the client against their target.

--- a/pkg/entrance/exchange.go
+++ b/pkg/entrance/exchange.go
@@ -79,6 +79,7 @@
 func (x *exchange) send(ctx context.Context, choice placement.Choice) call.Response {
 	req := x.req
 	req.Instance = choice.Server.Incarnation
+	req.Target = req.Target.Add(-choice.Delivery)
 	if !req.Kind.Idempotent() {
 		req.Call = x.entrance.nextCall()
 	}
--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -30,6 +30,8 @@
 	PeerFrameMalformed = Event{305, Warning, "frame of a peer can't be read and is ignored"}
 	PeerRowsTaken      = Event{306, Info, "rows of the store were taken from a peer"}
 	PeerIntroduced     = Event{309, Info, "a node without a row opened a link and is dialed in return"}
+	FollowsFeed        = Event{310, Info, "node follows the feed of a table"}
+	LeavesFeed         = Event{311, Info, "node no longer follows the feed of a table"}
 	HeartbeatMalformed = Event{307, Warning, "heartbeat can't be read and is ignored"}
 	HeartbeatOutdated  = Event{308, Info, "heartbeat of an earlier incarnation or state is ignored"}
 	HTTPServer         = Event{404, Warning, "HTTP server reports a problem with a connection"}
@@ -64,7 +66,7 @@
 		MeshJoined, MeshJoinFailed,
 		UpstreamAnnounced, UpstreamDraining, UpstreamLost, HTTPServer,
 		SettingsReloaded, SettingsRejected, LogLinesDropped,
-		PeerUp, PeerDown, PeerFrameMalformed, PeerRowsTaken, PeerIntroduced, HeartbeatMalformed, HeartbeatOutdated,
+		PeerUp, PeerDown, PeerFrameMalformed, PeerRowsTaken, PeerIntroduced, FollowsFeed, LeavesFeed, HeartbeatMalformed, HeartbeatOutdated,
 		RequestMalformed, RequestNoRoute, RequestAttempt, RequestRefused, RequestFailed, UpstreamRefuses,
 		MoveOrdered, MoveOrderMalformed, MoveJudged, PlatformHistory,
 		MoveStage, MoveTakenBack, MoveOutcome, MoveOutcomePending,
--- a/pkg/link/codec.go
+++ b/pkg/link/codec.go
@@ -20,10 +20,14 @@
 	if err != nil {
 		return nil, oops.Wrapf(err, "encode frame of kind %d", kind)
 	}
+	return frameOf(kind, body), nil
+}
+
+func frameOf(kind Kind, body []byte) []byte {
 	out := make([]byte, frameHeader, frameHeader+len(body))
 	binary.BigEndian.PutUint32(out, uint32(len(body)))
 	out[4] = byte(kind)
-	return append(out, body...), nil
+	return append(out, body...)
 }
 
 func readFrame(r *bufio.Reader) (Kind, []byte, error) {
--- a/pkg/link/frames.go
+++ b/pkg/link/frames.go
@@ -15,6 +15,10 @@
 	// Address is where the node takes links. A node whose row the receiver does
 	// not have yet is reached there.
 	Address string `cbor:"3,keyasint,omitempty"`
+	// FailureDomain is where the node runs.
+	FailureDomain string `cbor:"4,keyasint,omitempty"`
+	// LinkBytesPerSecond is the rate of the instance's network link; 0 is unknown.
+	LinkBytesPerSecond float64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Server tells the state of the server beside the sender.
@@ -88,6 +92,8 @@
 	Tables map[string]uint64 `cbor:"1,keyasint"`
 	// Configuration is the version that the sender has in force; 0 is none.
 	Configuration uint64 `cbor:"2,keyasint,omitempty"`
+	// Following tells that the sender follows the store's feeds.
+	Following bool `cbor:"3,keyasint,omitempty"`
 }
 
 // RowsWanted asks for the rows of a table that changed after a version.
--- a/pkg/link/link.go
+++ b/pkg/link/link.go
@@ -154,13 +154,17 @@
 
 // send queues one frame. The urgency matters for large frames only.
 func (l *Link) send(kind Kind, v any, u urgency) error {
-	if l.ctx.Err() != nil {
-		return context.Cause(l.ctx)
-	}
 	frame, err := encode(kind, v)
 	if err != nil {
 		return err
 	}
+	return l.sendFrame(frame, u)
+}
+
+func (l *Link) sendFrame(frame []byte, u urgency) error {
+	if l.ctx.Err() != nil {
+		return context.Cause(l.ctx)
+	}
 	if len(frame) >= uplink.PartBytes {
 		return l.enqueue(frame, u)
 	}
--- a/pkg/link/read.go
+++ b/pkg/link/read.go
@@ -55,7 +55,11 @@
 	case KindRowsWanted:
 		return decode(body, func(w RowsWanted) { l.handler.RowsWanted(l, w) })
 	case KindRows:
-		return decode(body, func(r Rows) { l.handler.Rows(l, r) })
+		r, err := decodeRows(body)
+		if err == nil {
+			l.handler.Rows(l, r)
+		}
+		return err
 	case KindEvidence:
 		return decode(body, func(e Evidence) { l.handler.Evidence(l, e) })
 	case KindPing:
--- a/pkg/placement/board.go
+++ b/pkg/placement/board.go
@@ -64,8 +64,10 @@
 	Node   string
 	Gate   Gate
 	Server Server
-	board  *Board
-	node   *node
+	// Delivery is the time that a large response needs from this node to the client.
+	Delivery time.Duration
+	board    *Board
+	node     *node
 }
 
 // Pick chooses the server with the lowest estimated time to a response.
@@ -91,7 +93,7 @@
 	}
 	best.unreported++
 	best.inFlight++
-	return Choice{Node: best.name, Gate: best.gate, Server: best.server, board: b, node: best}, true
+	return Choice{Node: best.name, Gate: best.gate, Server: best.server, Delivery: b.delivery(best, size), board: b, node: best}, true
 }
 
 // candidates returns the servers that may take the request.
@@ -171,3 +173,16 @@
 		b.sizes[route] = size
 	}
 }
+
+// delivery estimates how long a response of the given size takes from this node to
+// the client. From the own server it has passed the link once already.
+func (b *Board) delivery(n *node, size float64) time.Duration {
+	if size < largeResponse {
+		return 0
+	}
+	took := clientDelivery
+	if n.name != b.place.Node && b.place.LinkBytesPerSecond > 0 {
+		took += time.Duration(size / b.place.LinkBytesPerSecond * float64(time.Second))
+	}
+	return took
+}
--- a/pkg/placement/tunables.go
+++ b/pkg/placement/tunables.go
@@ -27,6 +27,9 @@
 	// largeResponse is the mean size, in bytes, from which the failure domain
 	// matters: below it, the delay between domains costs more than the bytes.
 	largeResponse = 16 << 10
+	// clientDelivery is the time that a client's connection adds to a large response:
+	// some round trips of the slow start.
+	clientDelivery = 100 * time.Millisecond
 	// unreportedWeight counts a request that this node has sent since the last
 	// report more than once, for those that other nodes have sent meanwhile.
 	unreportedWeight = 8.0
--- a/pkg/sidecar/follow.go
+++ b/pkg/sidecar/follow.go
@@ -19,6 +19,11 @@
 	backoff := time.Duration(0)
 	relist := true
 	for ctx.Err() == nil {
+		if !relist && !n.duty.mine(time.Now()) {
+			n.stopFollowing(table)
+			sleep(ctx, followCheck/2+rand.N(followCheck))
+			continue
+		}
 		err := n.step(ctx, table, relist)
 		switch {
 		case err == nil:
@@ -26,6 +31,7 @@
 				event.PlatformUp.Log("table", table)
 			}
 			backoff, relist = 0, false
+			n.startFollowing(table)
 			n.peers.announceVersions()
 			sleep(ctx, feedPause/2+rand.N(feedPause))
 		case errors.Is(err, platform.ErrHistoryGone):
@@ -37,12 +43,45 @@
 				event.PlatformDown.LogError(err, "table", table, "copy", n.cache.Version(table))
 			}
 			n.metrics.storeFailures.Inc()
+			if n.stopFollowing(table) {
+				n.peers.announceVersions()
+			}
 			backoff = min(max(2*backoff, storeBackoffMin), storeBackoffMax)
+			if !n.duty.first() && n.table.Load() != nil {
+				backoff = standInBackoff
+			}
 			sleep(ctx, backoff/2+rand.N(backoff))
 		}
 	}
 }
 
+// startFollowing records that this node follows the feed of a table.
+func (n *Node) startFollowing(table string) {
+	if _, already := n.following.LoadOrStore(table, true); !already {
+		event.FollowsFeed.Log("table", table, "copy", n.cache.Version(table))
+	}
+}
+
+// stopFollowing records that this node does not follow the feed of a table. It
+// reports whether it did.
+func (n *Node) stopFollowing(table string) bool {
+	_, did := n.following.LoadAndDelete(table)
+	if did {
+		event.LeavesFeed.Log("table", table, "copy", n.cache.Version(table))
+	}
+	return did
+}
+
+// followsAll reports whether this node follows the feeds of all tables.
+func (n *Node) followsAll() bool {
+	for _, table := range []string{n.deploy.Translator.Table(), meshTable} {
+		if _, ok := n.following.Load(table); !ok {
+			return false
+		}
+	}
+	return true
+}
+
 // step reads the table once, whole or what has changed.
 func (n *Node) step(ctx context.Context, table string, whole bool) error {
 	n.metrics.storeCalls.Inc()
--- a/pkg/sidecar/handler.go
+++ b/pkg/sidecar/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"corianderwood.example/corianderwood/pkg/call"
@@ -44,21 +45,25 @@
 	return nil
 }
 
-// Versions notices that this node is behind a peer. It gives the store's feed a
-// moment before it asks the peer for the rows.
+// Versions notices that this node is behind a peer and asks it for the rows, unless
+// they arrive otherwise within a moment.
 func (h *handler) Versions(l *link.Link, v link.Versions) {
 	n := (*Node)(h)
+	if n.peers.opened(l) != nil {
+		n.noteFollower(l.Peer, v.Following)
+	}
 	operators := n.deploy.Translator.Table()
 	for table, version := range v.Tables {
 		lacksConfiguration := table == operators && v.Configuration > 0 && n.table.Load() == nil
 		if version <= n.cache.Version(table) && !lacksConfiguration {
 			continue
 		}
-		if _, busy := n.peers.asking.LoadOrStore(table, true); busy {
+		asked := rowsAsked{table, l.Peer.FailureDomain == n.settings.FailureDomain}
+		if _, busy := n.peers.asking.LoadOrStore(asked, true); busy {
 			continue
 		}
-		time.AfterFunc(peerRowsDelay, func() {
-			n.peers.asking.Delete(table)
+		time.AfterFunc(n.rowsDelay(asked), func() {
+			n.peers.asking.Delete(asked)
 			known := n.cache.Version(table)
 			if known < version || lacksConfiguration && n.table.Load() == nil {
 				_ = l.Send(link.KindRowsWanted, link.RowsWanted{Table: table, After: known}) // another peer will tell
@@ -67,16 +72,44 @@
 	}
 }
 
+// rowsAsked identifies a pending request for rows of a table.
+type rowsAsked struct {
+	table string
+	near  bool // a peer of the own failure domain is asked
+}
+
+// rowsDelay is how long this node waits before it asks a peer for rows.
+func (n *Node) rowsDelay(a rowsAsked) time.Duration {
+	_, follows := n.following.Load(a.table)
+	switch {
+	case n.table.Load() == nil:
+		return rand.N(rowsSpread)
+	case !a.near:
+		return foreignRowsDelay
+	case follows:
+		return peerRowsDelay
+	default:
+		return rand.N(rowsSpread)
+	}
+}
+
+// noteFollower records whether a peer follows the store's feeds.
+func (n *Node) noteFollower(peer link.Hello, following bool) {
+	f := follower{name: peer.Node, failureDomain: peer.FailureDomain, linkBytesPerSecond: peer.LinkBytesPerSecond}
+	if following {
+		f.saidAt = time.Now()
+	}
+	n.duty.heard(f)
+}
+
 // RowsWanted sends what a peer lacks.
 func (h *handler) RowsWanted(l *link.Link, w link.RowsWanted) {
-	rows, complete := h.cache.Since(w.Table, w.After)
-	answer := link.Rows{Table: w.Table, Rows: rows, Complete: complete}
-	if accepted, ok := h.cache.Accepted(w.Table); ok {
-		if newest, ok := h.cache.Get(w.Table, accepted.Key); !ok || newest.Version != accepted.Version {
-			answer.Accepted = &accepted
-		}
+	rows, err := h.packed.since(h.cache, w)
+	if err != nil {
+		event.PeerFrameMalformed.LogError(err, "peer", l.Peer.Node, "table", w.Table)
+		return
 	}
-	_ = l.Send(link.KindRows, answer) // a lost link asks again
+	_ = l.SendRows(rows) // a lost link asks again
 }
 
 // Rows takes what this node lacked.
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -40,6 +41,8 @@
 	ingress  *ingress.Server
 	peers    *peers
 	uplink   *uplink.Scheduler
+	duty     *followDuty
+	packed   packedRows
 	metrics  *metrics
 	registry *prometheus.Registry
 
@@ -47,6 +50,7 @@
 	closing   atomic.Bool // no new work is wanted
 	refusing  atomic.Bool // requests of clients are refused
 	malformed *rate.Limiter
+	following sync.Map // tables whose feed this node follows
 	announced atomic.Pointer[link.Server]
 }
 
@@ -59,9 +63,11 @@
 		board:     placement.NewBoard(placement.Place{Node: s.Node, FailureDomain: s.FailureDomain, LinkBytesPerSecond: s.LinkBytesPerSecond}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		rollouts:  rollout.NewTracker(rollout.Bounds{Share: s.Bounds.ExposureShare, Extra: s.Bounds.ExposureExtra}),
 		registry:  prometheus.NewRegistry(),
+		packed:    packedRows{byTable: make(map[string]packedTable)},
 		malformed: rate.NewLimiter(malformedLogRate, malformedLogRate),
 	}
 	n.uplink = uplink.New(s.LinkBytesPerSecond)
+	n.duty = newFollowDuty(follower{name: s.Node, failureDomain: s.FailureDomain, linkBytesPerSecond: s.LinkBytesPerSecond})
 	n.recorder = rollout.NewRecorder(n.process)
 	n.metrics = newMetrics(n.registry, d.DroppedLogLines)
 	n.running = gate.NewInProgress()
--- a/pkg/sidecar/peer.go
+++ b/pkg/sidecar/peer.go
@@ -70,6 +70,7 @@
 		_ = l.Send(link.KindVersions, n.versions()) // a lost link greets again
 	})
 	if p.link.CompareAndSwap(l, nil) {
+		n.duty.lost(p.name)
 		n.metrics.peersUp.Dec()
 		n.metrics.linksLost.Inc()
 	}
--- a/pkg/sidecar/peers.go
+++ b/pkg/sidecar/peers.go
@@ -227,12 +227,12 @@
 }
 
 func (n *Node) hello() link.Hello {
-	return link.Hello{Node: n.settings.Node, Process: n.process, Address: n.row().Address}
+	return link.Hello{Node: n.settings.Node, Process: n.process, Address: n.row().Address, FailureDomain: n.settings.FailureDomain, LinkBytesPerSecond: n.settings.LinkBytesPerSecond}
 }
 
 // versions tells how far the copies of this node are.
 func (n *Node) versions() link.Versions {
-	v := link.Versions{Tables: n.cache.Versions()}
+	v := link.Versions{Tables: n.cache.Versions(), Following: n.followsAll()}
 	if t := n.table.Load(); t != nil {
 		v.Configuration = t.Version
 	}
--- a/pkg/sidecar/tunables.go
+++ b/pkg/sidecar/tunables.go
@@ -11,7 +11,19 @@
 
 	// feedWait is how long a call for changes waits. A call that a silent
 	// connection has lost ends after it.
-	feedWait = 6 * time.Second
+	feedWait = 4 * time.Second
+	// followersPerDomain is how many nodes of a failure domain follow the store's
+	// feeds for all. Two, so that the loss of one delays no change; the followers of
+	// the other domains stand in for both.
+	followersPerDomain = 2
+	// followerExpiry is how long a follower counts without a word: the wait and the
+	// pause of one call for changes, and a second for a slow store.
+	followerExpiry = feedWait + 2*feedPause + time.Second
+	// followCheck is how often a node that does not follow looks whether it should.
+	followCheck = 500 * time.Millisecond
+	// standInBackoff is the wait of nodes that follow only because others fail, after
+	// a failed call: when the store is down, all of them try.
+	standInBackoff = 3 * time.Second
 	// feedPause is the time between two calls for changes, so that changes in
 	// quick succession share a call. Meanwhile peers tell of newer rows.
 	feedPause = 500 * time.Millisecond
@@ -22,9 +34,15 @@
 	storeBackoffMax = 700 * time.Millisecond
 	// relistJitter spreads full reads after the store has dropped its history.
 	relistJitter = 150 * time.Millisecond
-	// peerRowsDelay is how long a node that is behind a peer waits for the
+	// peerRowsDelay is how long a follower that is behind a peer waits for the
 	// store's own feed before it asks the peer.
 	peerRowsDelay = 200 * time.Millisecond
+	// rowsSpread spreads the requests of other nodes for rows over the followers of
+	// their failure domain.
+	rowsSpread = 60 * time.Millisecond
+	// foreignRowsDelay is how long a node waits for rows from its own failure domain
+	// before it asks a follower of another one; traffic between domains is charged.
+	foreignRowsDelay = 400 * time.Millisecond
 
 	// introductions bounds the nodes that wait to be dialed in return.
 	introductions = 64
--- a/pkg/uplink/scheduler.go
+++ b/pkg/uplink/scheduler.go
@@ -60,7 +60,11 @@
 func (s *Scheduler) Backlog(now time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return max(s.freeAt.Sub(now), 0) + s.duration(s.pending)
+	backlog := s.duration(s.pending)
+	if s.freeAt.After(now) {
+		backlog += s.freeAt.Sub(now)
+	}
+	return backlog
 }
 
 // Duration returns how long the link needs for n bytes.
@@ -102,8 +106,8 @@
 // when it is. The caller holds mu.
 func (s *Scheduler) advance(now time.Time) {
 	for len(s.waiting) > 0 {
-		if wait := s.freeAt.Sub(now) - lead; wait > 0 {
-			s.wakeAfter(wait)
+		if due := s.freeAt.Add(-lead); due.After(now) {
+			s.wakeAfter(due.Sub(now))
 			return
 		}
 		t := s.waiting[0]
