Bound repeats by a share of each window, the larger part for nested requests

Cause: the saved tokens used a quarter of the deployment's bound, and requests whose nested request was shed failed with the work of the outer server. Change: a budget over windows at each node, whose sum keeps the bound of all nodes; its figures come from the settings.

--- a/pkg/entrance/budgets.go
+++ b/pkg/entrance/budgets.go
@@ -2,26 +2,51 @@
 
 import (
 	"sync"
+	"time"
 
-	"corianderwood.example/corianderwood/pkg/config"
 	"corianderwood.example/corianderwood/pkg/retry"
 )
 
-// budgets holds the retry budget of each service. mu guards the map.
+// RetryBound is the deployment's bound on repeats, for all nodes together: within any
+// window, Ratio of the requests of a service and Extra ones.
+type RetryBound struct {
+	Ratio  float64
+	Window time.Duration
+	// Extra returns this node's part of the extra repeats of each service.
+	Extra func() float64
+}
+
+// budgets holds the retry budgets of each service. mu guards the map.
 type budgets struct {
+	bound RetryBound
+
 	mu        sync.Mutex
-	byService map[string]*retry.Budget
+	byService map[budgetKey]*retry.Share
 }
 
-func newBudgets() *budgets { return &budgets{byService: make(map[string]*retry.Budget)} }
+// budgetKey separates nested requests, which get the larger share: when one fails, the
+// work of the request that made it is lost too.
+type budgetKey struct {
+	service string
+	nested  bool
+}
+
+func newBudgets(bound RetryBound) *budgets {
+	return &budgets{bound: bound, byService: make(map[budgetKey]*retry.Share)}
+}
 
-func (b *budgets) of(service string) *retry.Budget {
+func (b *budgets) of(service string, nested bool) *retry.Share {
+	key := budgetKey{service, nested}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	budget, ok := b.byService[service]
+	share, ok := b.byService[key]
 	if !ok {
-		budget = retry.NewBudget(config.Retry{Ratio: retryRatio, Cap: retryCap})
-		b.byService[service] = budget
+		part := clientRepeats
+		if nested {
+			part = nestedRepeats
+		}
+		share = retry.NewShare(part*b.bound.Ratio, b.bound.Window)
+		b.byService[key] = share
 	}
-	return budget
+	return share
 }
--- a/pkg/entrance/entrance.go
+++ b/pkg/entrance/entrance.go
@@ -35,6 +35,7 @@
 	Rollouts *rollout.Tracker
 	// Process identifies this start of the node in ledgers.
 	Process uint64
+	Retries RetryBound
 	Metrics *Metrics
 }
 
@@ -52,7 +53,7 @@
 func New(opts Options) *Entrance {
 	return &Entrance{
 		opts: opts, head: newHeadEncoder(opts.Headers, opts.Service), split: routing.NewSplitter(),
-		budgets: newBudgets(), log: newDecisionLog(),
+		budgets: newBudgets(opts.Retries), log: newDecisionLog(),
 	}
 }
 
--- a/pkg/entrance/exchange.go
+++ b/pkg/entrance/exchange.go
@@ -30,8 +30,8 @@
 }
 
 func (x *exchange) run(ctx context.Context) ingress.Response {
-	budget := x.entrance.budgets.of(x.req.Service)
-	budget.RecordFirst()
+	budget := x.entrance.budgets.of(x.req.Service, x.req.Nested)
+	budget.RecordFirst(time.Now())
 	for {
 		choice, ok := x.pick()
 		if !ok {
@@ -40,7 +40,7 @@
 		res := x.send(ctx, choice)
 		action := decide(x.state(ctx), res)
 		x.entrance.logOutcome(x, choice, res, action)
-		if action == Repeat && !budget.TryTake() {
+		if action == Repeat && !budget.TryTake(time.Now(), x.entrance.budgets.bound.Extra()) {
 			x.entrance.opts.Metrics.refused(reason.RetryBudget)
 			action = ending(x.state(ctx))
 			if res.Answered() {
--- a/pkg/entrance/tunables.go
+++ b/pkg/entrance/tunables.go
@@ -3,12 +3,12 @@
 import "time"
 
 const (
-	// retryRatio is the share of a service's requests that may be repeated. It
-	// is a quarter of the fleet's bound, because a window may hold what two
-	// windows earned, and a repeated request repeats its nested requests too.
-	retryRatio = 0.05
-	// retryCap bounds the tokens that one node saves for a service.
-	retryCap = 40
+	// nestedRepeats and clientRepeats are the parts of the deployment's ratio that
+	// repeats of nested requests and of others may use. The requests that a repeated
+	// request makes count as repeats too; with about 1.4 of them, both parts together
+	// stay below nine tenths of the ratio at the service that is called.
+	nestedRepeats = 0.7
+	clientRepeats = 0.3
 	// maxPlacements bounds the gates that one request is offered to.
 	maxPlacements = 4
 	// minRepeatTime is the time that must be left for a repeated request.
--- a/pkg/sidecar/bounds.go
+++ b/pkg/sidecar/bounds.go
@@ -10,9 +10,14 @@
 	Grace time.Duration
 	// ExposureShare and ExposureExtra bound the requests of a bad version.
 	ExposureShare, ExposureExtra float64
+	// RetryRatio and RetryExtra bound the repeats of a service's requests within any
+	// RetryWindow, over all nodes.
+	RetryRatio, RetryExtra float64
+	RetryWindow            time.Duration
 }
 
 // DefaultBounds are the figures of both deployments of today.
 var DefaultBounds = Bounds{
 	Drain: 2 * time.Second, Grace: 6 * time.Second, ExposureShare: 0.1, ExposureExtra: 50,
+	RetryRatio: 0.2, RetryExtra: 64, RetryWindow: 10 * time.Second,
 }
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -50,7 +50,8 @@
 	closing   atomic.Bool // no new work is wanted
 	refusing  atomic.Bool // requests of clients are refused
 	malformed *rate.Limiter
-	following sync.Map // tables whose feed this node follows
+	nodes     atomic.Int64 // other nodes of the mesh
+	following sync.Map     // tables whose feed this node follows
 	announced atomic.Pointer[link.Server]
 }
 
@@ -78,13 +79,21 @@
 	})
 	n.entrance = entrance.New(entrance.Options{
 		Service: s.Service, Nested: n.nested, Headers: d.Headers, Stopping: n.refusing.Load, Table: n.table.Load,
-		Board: n.board, Rollouts: n.rollouts, Process: n.process, Metrics: entrance.NewMetrics(n.registry),
+		Board: n.board, Rollouts: n.rollouts, Process: n.process, Retries: n.retryBound(), Metrics: entrance.NewMetrics(n.registry),
 	})
 	n.ingress = ingress.NewServer(n.entrance, n.limits, n.uplink)
 	n.peers = newPeers(n)
 	return n
 }
 
+// retryBound returns the bound on repeats with this node's part of the extra ones.
+func (n *Node) retryBound() entrance.RetryBound {
+	b := n.settings.Bounds
+	return entrance.RetryBound{Ratio: b.RetryRatio, Window: b.RetryWindow, Extra: func() float64 {
+		return extraRepeatsShare * b.RetryExtra / float64(n.nodes.Load()+1)
+	}}
+}
+
 func (n *Node) limits() routing.Limits {
 	if t := n.table.Load(); t != nil {
 		return t.Limits
--- a/pkg/sidecar/peers.go
+++ b/pkg/sidecar/peers.go
@@ -91,6 +91,7 @@
 	}
 	p.connect(ctx, wanted)
 	p.node.rollouts.SetNodes(len(wanted) + 1)
+	p.node.nodes.Store(int64(len(wanted)))
 	if !self && !p.node.closing.Load() {
 		go p.register(ctx)
 	}
--- a/pkg/sidecar/settings.go
+++ b/pkg/sidecar/settings.go
@@ -58,6 +58,10 @@
 	if s.LinkBytesPerSecond < 0 {
 		return oops.Errorf("the rate of the network link is %v; it must not be negative", s.LinkBytesPerSecond)
 	}
+	if s.Bounds.RetryRatio < 0 || s.Bounds.RetryExtra < 0 || s.Bounds.RetryWindow < time.Second {
+		return oops.Errorf("the bound on repeats is %v and %v in %v; it must not be negative and the window at least 1s",
+			s.Bounds.RetryRatio, s.Bounds.RetryExtra, s.Bounds.RetryWindow)
+	}
 	if s.Heartbeat <= 0 {
 		return oops.Errorf("setting \"heartbeat\" must be above zero")
 	}
--- a/pkg/sidecar/tunables.go
+++ b/pkg/sidecar/tunables.go
@@ -69,6 +69,9 @@
 	stopMargin   = 600 * time.Millisecond
 	stopInterval = 50 * time.Millisecond
 
+	// extraRepeatsShare is the part of the deployment's extra repeats that is used;
+	// nodes that start do not know all others yet.
+	extraRepeatsShare = 0.5
 	// memoryShare is the part of the memory limit at which the garbage
 	// collector works harder.
 	memoryShare = 0.6
