Add the fault soak; wait for links before following the feeds

Change: harness/soak with a loopback proxy between each pair of nodes and to the store, signals, failing servers and checks of the promises; a pause before the first call for changes.

--- /dev/null
+++ b/harness/soak/client.go
@@ -0,0 +1,109 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+)
+
+var attempts atomic.Int64
+
+// client sends requests to one node over connections that it keeps, also while the
+// node stops, until the process is gone.
+type client struct {
+	soak     *Soak
+	instance *Instance
+	http     *http.Client
+}
+
+func newClient(s *Soak, i *Instance) *client {
+	transport := &http.Transport{
+		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, MaxIdleConnsPerHost: 8, DisableCompression: true,
+	}
+	return &client{soak: s, instance: i, http: &http.Client{Transport: transport}}
+}
+
+// run sends requests until the context ends.
+func (c *client) run(ctx context.Context, unsafe bool) {
+	for ctx.Err() == nil {
+		c.send(unsafe)
+		time.Sleep(clientPause)
+	}
+}
+
+// send sends one request, checks the answer and reports whether it was served.
+func (c *client) send(unsafe bool) bool {
+	id := fmt.Sprintf("r%06d", attempts.Add(1))
+	method, path, service := http.MethodGet, "/read/"+id, "alpha"
+	if unsafe {
+		method, path, service = http.MethodPost, "/order/"+id, "beta"
+	}
+	c.soak.checker.Sent(id, unsafe)
+	status, body, header, err := c.exchange(method, path, id)
+	switch {
+	case err != nil:
+		c.soak.checker.Count("no answer")
+		if !errors.Is(err, context.DeadlineExceeded) && c.instance.Calm(2*clientDeadline) {
+			c.soak.checker.Lost(id, c.instance.name, err)
+		}
+		return false
+	case status == http.StatusOK:
+		want := fmt.Sprintf("%s %s body-%s", service, id, id)
+		if body != want || header.Get("X-Corianderwood-Response-Signature") != signature+id {
+			c.soak.checker.Broken("%s got the answer %q signed %q", id, body, header.Get("X-Corianderwood-Response-Signature"))
+		}
+	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
+		c.soak.checker.Refused(id, status)
+		if header.Get("Retry-After") == "" {
+			c.soak.checker.Broken("%s was refused without Retry-After", id)
+		}
+	case status/100 == 4:
+		c.soak.checker.Broken("%s was answered %d", id, status)
+	}
+	c.soak.checker.Count(fmt.Sprint(status))
+	return status == http.StatusOK
+}
+
+// exchange sends one attempt and reads the whole response.
+func (c *client) exchange(method, path, id string) (int, string, http.Header, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), clientDeadline)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.instance.at(clientPort)+path, strings.NewReader("body-"+id))
+	if err != nil {
+		return 0, "", nil, err
+	}
+	req.Host = "soak.example"
+	req.Header.Set("X-Corianderwood-Request-Id", id)
+	req.Header.Set("X-Corianderwood-Deadline-Ms", fmt.Sprint(clientDeadline.Milliseconds()))
+	req.Header.Set("X-Corianderwood-Caller-Service", "forged")
+	// A transport that repeats a request by itself would look like a node that does.
+	req.GetBody = nil
+	res, err := c.http.Do(req)
+	if err != nil {
+		return 0, "", nil, err
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	if err != nil {
+		return 0, "", nil, errors.Join(errors.New("the answer is not whole"), err)
+	}
+	return res.StatusCode, string(body), res.Header, nil
+}
+
+// probe asks for a route that only one version of the configuration has. It returns
+// the status; 0 if there is no answer.
+func (c *client) probe(version int) int {
+	id := fmt.Sprintf("p%06d", attempts.Add(1))
+	c.soak.checker.Sent(id, false)
+	status, _, _, err := c.exchange(http.MethodGet, fmt.Sprintf("/v%d/%s", version, id), id)
+	if err != nil {
+		return 0
+	}
+	return status
+}
--- a/pkg/sidecar/follow.go
+++ b/pkg/sidecar/follow.go
@@ -17,7 +17,7 @@
 // follow keeps the copy of one table up to date.
 func (n *Node) follow(ctx context.Context, table string) {
 	backoff := time.Duration(0)
-	relist := true
+	relist, first := true, true
 	for ctx.Err() == nil {
 		if !relist && !n.duty.mine(time.Now()) {
 			n.stopFollowing(table)
@@ -33,6 +33,11 @@
 			backoff, relist = 0, false
 			n.startFollowing(table)
 			n.peers.announceVersions()
+			if first {
+				// The links to peers show which nodes follow the feed already.
+				sleep(ctx, firstLinks)
+				first = false
+			}
 			sleep(ctx, feedPause/2+rand.N(feedPause))
 		case errors.Is(err, platform.ErrHistoryGone):
 			event.PlatformHistory.Log("table", table, "after", n.cache.Version(table))
--- a/pkg/sidecar/tunables.go
+++ b/pkg/sidecar/tunables.go
@@ -21,6 +21,9 @@
 	followerExpiry = feedWait + 2*feedPause + time.Second
 	// followCheck is how often a node that does not follow looks whether it should.
 	followCheck = 500 * time.Millisecond
+	// firstLinks is the time after its first read of a table in which a node opens
+	// links to its peers.
+	firstLinks = 500 * time.Millisecond
 	// standInBackoff is the wait of nodes that follow only because others fail, after
 	// a failed call: when the store is down, all of them try.
 	standInBackoff = 3 * time.Second
