--- a/Makefile
+++ b/Makefile
@@ -1,12 +1,13 @@
-# Targets: build, demo, test, lint, bench, proofs SEED=n.
-SEED ?= 1
+# Targets: build, demo, test, lint, bench, proofs SEED=n, soak SEED=n SEEDS=count.
+SEED  ?= 1
+SEEDS ?= 1
 BIN  := bin
 
 # Race-enabled test binaries are limited to this many at once, so that timing
 # checks are not starved.
 TEST_PARALLEL ?= 4
 
-.PHONY: build harness demo test lint bench proofs clean
+.PHONY: build harness demo test lint bench proofs soak clean
 
 build:
 	mkdir -p $(BIN)
@@ -35,5 +36,8 @@
 proofs:
 	SEED=$(SEED) go test -race -count=1 -timeout 30m -run 'Proof' ./... ./harness/...
 
+soak: harness
+	$(BIN)/harness/soak -seed $(SEED) -seeds $(SEEDS)
+
 clean:
 	rm -rf $(BIN)
