Remember the server beside a restarted node until its next heartbeat

Cause: a node that restarts knew nothing of the server beside it until the next heartbeat, up to 1.5 s later; after a kill of all nodes nothing was served meanwhile. Change: peers keep what a node said last of its server and tell its next process; the node counts on it for one heartbeat and less than the drain bound. A node that stops no longer looks like a leaving server.

--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -110,7 +110,7 @@
 	switch {
 	case !ok:
 		return refuse(reason.NoUpstream, 0)
-	case server.Service != req.Service || (req.Instance != "" && req.Instance != Incarnation(server)):
+	case server.Service != req.Service || (req.Instance != "" && req.Instance != server.Incarnation()):
 		return refuse(reason.StaleTarget, 0)
 	case server.State != instance.Ready:
 		return refuse(reason.Draining, 0)
@@ -229,7 +229,7 @@
 // while the request waited.
 func (g *Gate) fence(now time.Time, server instance.Server) reason.Refusal {
 	current, ok := g.opts.Tracker.Current(now)
-	if !ok || Incarnation(current) != Incarnation(server) {
+	if !ok || current.Incarnation() != server.Incarnation() {
 		return reason.StaleTarget
 	}
 	left := g.opts.Tracker.LeavingSince()
@@ -261,8 +261,3 @@
 func Failed(res call.Response) bool {
 	return res.Status == 0 || res.Status >= http.StatusInternalServerError || res.Ran == reason.RanNo
 }
-
-// Incarnation names one start of a server; an id may be used again.
-func Incarnation(s instance.Server) string {
-	return s.ID + "/" + formatBorn(s.Born)
-}
--- a/pkg/gate/rank.go
+++ b/pkg/gate/rank.go
@@ -1,7 +1,6 @@
 package gate
 
 import (
-	"strconv"
 	"time"
 
 	"corianderwood.example/corianderwood/pkg/call"
@@ -39,5 +38,3 @@
 func transmissionEnd(now time.Time, backlog, service, transmission time.Duration) time.Time {
 	return now.Add(max(backlog, service) + transmission)
 }
-
-func formatBorn(born int64) string { return strconv.FormatInt(born, 36) }
--- a/pkg/instance/server.go
+++ b/pkg/instance/server.go
@@ -1,6 +1,12 @@
 package instance
 
-import "time"
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/samber/oops"
+)
 
 // State is what a server says of itself.
 type State uint8
@@ -46,3 +52,19 @@
 	// WarmUp is how much longer the server is slow after its start.
 	WarmUp time.Duration
 }
+
+// Incarnation names one start of the server; an id may be used again.
+func (s Server) Incarnation() string { return s.ID + "/" + strconv.FormatInt(s.Born, 36) }
+
+// ParseIncarnation reads the id and the start of a server from its incarnation.
+func ParseIncarnation(text string) (id string, born int64, err error) {
+	at := strings.LastIndexByte(text, '/')
+	if at < 0 {
+		return "", 0, oops.Errorf("incarnation %q must be ID/START", text)
+	}
+	born, err = strconv.ParseInt(text[at+1:], 36, 64)
+	if err != nil {
+		return "", 0, oops.Wrapf(err, "start of incarnation %q", text)
+	}
+	return text[:at], born, nil
+}
--- a/pkg/instance/tracker.go
+++ b/pkg/instance/tracker.go
@@ -27,6 +27,7 @@
 	known   bool
 	heard   time.Time // last heartbeat that counted
 	leaving time.Time // when the leave was acknowledged; zero while ready
+	adopted time.Time // until when a remembered server counts; zero after a heartbeat
 	expiry  time.Duration
 }
 
@@ -52,7 +53,7 @@
 	if s.State != Ready && t.leaving.IsZero() {
 		t.leaving = now
 	}
-	t.server, t.known, t.heard = s, true, now
+	t.server, t.known, t.heard, t.adopted = s, true, now, time.Time{}
 	if changed {
 		return Changed
 	}
@@ -77,13 +78,38 @@
 	if !t.known || t.server.ID != id {
 		return false
 	}
-	t.server.State, t.heard = Gone, now
+	t.server.State, t.heard, t.adopted = Gone, now, time.Time{}
 	if t.leaving.IsZero() {
 		t.leaving = now
 	}
 	return true
 }
 
+// Adopt takes what is remembered of the server until its next heartbeat, at the latest
+// until the given time. It reports whether it is news: heartbeats, and what is
+// remembered of a later start, go first.
+func (t *Tracker) Adopt(now time.Time, s Server, until time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.known && (t.adopted.IsZero() || t.server.Born >= s.Born) || !now.Before(until) {
+		return false
+	}
+	s.Sequence = 0
+	t.server, t.known, t.heard, t.adopted = s, true, now, until
+	return true
+}
+
+// Disown drops a server that was adopted. It reports whether there was one.
+func (t *Tracker) Disown() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.adopted.IsZero() {
+		return false
+	}
+	t.known, t.adopted = false, time.Time{}
+	return true
+}
+
 // MarkDown records that the server refuses connections. It counts as lost until
 // its next heartbeat.
 func (t *Tracker) MarkDown() {
@@ -97,7 +123,7 @@
 func (t *Tracker) Current(now time.Time) (Server, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.known || now.Sub(t.heard) > t.expiry {
+	if !t.known || now.Sub(t.heard) > t.expiry || !t.adopted.IsZero() && !now.Before(t.adopted) {
 		return Server{}, false
 	}
 	return t.server, true
--- a/pkg/link/frames.go
+++ b/pkg/link/frames.go
@@ -29,14 +29,21 @@
 	Incarnation   string `cbor:"4,keyasint,omitempty"`
 	FailureDomain string `cbor:"5,keyasint,omitempty"`
 	Slots         int    `cbor:"6,keyasint,omitempty"`
-	// Leaving tells that the server or its node takes no new requests.
+	// Leaving tells that the server takes no new requests.
 	Leaving bool `cbor:"7,keyasint,omitempty"`
+	// Stopping tells that the node stops, while the server goes on.
+	Stopping bool `cbor:"10,keyasint,omitempty"`
 	// WarmUpMs is how much longer the server is slow, in milliseconds.
 	WarmUpMs int64 `cbor:"8,keyasint,omitempty"`
 	// LinkBytesPerSecond is the rate of the instance's network link; 0 is unknown.
 	LinkBytesPerSecond float64 `cbor:"9,keyasint,omitempty"`
 }
 
+// Recall tells a restarted node what its previous process said of the server beside it.
+type Recall struct {
+	Server Server `cbor:"1,keyasint"`
+}
+
 // requestFrame carries a call.Request; times are what is left, in microseconds.
 type requestFrame struct {
 	_        struct{} `cbor:",toarray"`
--- a/pkg/link/handler.go
+++ b/pkg/link/handler.go
@@ -16,6 +16,8 @@
 	Outcome(ctx context.Context, id ledger.CallID) call.Response
 	// Server takes the state of the server beside the peer.
 	Server(l *Link, s Server)
+	// Recall takes what the peer knows of the server beside this node.
+	Recall(l *Link, r Recall)
 	// Versions takes the versions of the peer's copies of tables.
 	Versions(l *Link, v Versions)
 	// RowsWanted takes a request for rows.
--- a/pkg/link/kind.go
+++ b/pkg/link/kind.go
@@ -19,4 +19,5 @@
 	KindPong
 	// KindPart carries a part of a large frame.
 	KindPart
+	KindRecall
 )
--- a/pkg/link/link_test.go
+++ b/pkg/link/link_test.go
@@ -27,6 +27,7 @@
 	return call.Refused(reason.Barred, 0)
 }
 func (stub) Server(*Link, Server)         {}
+func (stub) Recall(*Link, Recall)         {}
 func (stub) Versions(*Link, Versions)     {}
 func (stub) RowsWanted(*Link, RowsWanted) {}
 func (stub) Rows(*Link, Rows)             {}
--- a/pkg/link/read.go
+++ b/pkg/link/read.go
@@ -50,6 +50,8 @@
 		return decode(body, l.serveOutcome)
 	case KindServer:
 		return decode(body, func(s Server) { l.handler.Server(l, s) })
+	case KindRecall:
+		return decode(body, func(r Recall) { l.handler.Recall(l, r) })
 	case KindVersions:
 		return decode(body, func(v Versions) { l.handler.Versions(l, v) })
 	case KindRowsWanted:
--- a/pkg/sidecar/handler.go
+++ b/pkg/sidecar/handler.go
@@ -30,6 +30,7 @@
 // counts, since requests travel on it.
 func (h *handler) Server(l *link.Link, s link.Server) {
 	n := (*Node)(h)
+	n.peers.remember(l.Peer, s)
 	if p := n.peers.opened(l); p != nil {
 		n.placeServer(p.name, p, s)
 	}
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/time/rate"
@@ -29,6 +30,8 @@
 	settings Settings
 	deploy   Deployment
 	process  uint64 // identifies this start
+	// startedAt is when the process was set up.
+	startedAt time.Time
 
 	cache    *rowcache.Cache
 	tracker  *instance.Tracker
@@ -46,19 +49,21 @@
 	metrics  *metrics
 	registry *prometheus.Registry
 
-	table     atomic.Pointer[routing.Table]
-	closing   atomic.Bool // no new work is wanted
-	refusing  atomic.Bool // requests of clients are refused
-	malformed *rate.Limiter
-	nodes     atomic.Int64 // other nodes of the mesh
-	following sync.Map     // tables whose feed this node follows
-	announced atomic.Pointer[link.Server]
+	table    atomic.Pointer[routing.Table]
+	closing  atomic.Bool // no new work is wanted
+	refusing atomic.Bool // requests of clients are refused
+	// recallEnded tells that a peer knows of the leave of the server beside the node.
+	recallEnded atomic.Bool
+	malformed   *rate.Limiter
+	nodes       atomic.Int64 // other nodes of the mesh
+	following   sync.Map     // tables whose feed this node follows
+	announced   atomic.Pointer[link.Server]
 }
 
 // New builds a node from checked settings.
 func New(s Settings, d Deployment) *Node {
 	n := &Node{
-		settings: s, deploy: d, process: rand.Uint64(),
+		settings: s, deploy: d, process: rand.Uint64(), startedAt: time.Now(),
 		cache:     rowcache.New(d.Translator.Table(), meshTable),
 		tracker:   instance.NewTracker(heartbeatsMissed * s.Heartbeat),
 		board:     placement.NewBoard(placement.Place{Node: s.Node, FailureDomain: s.FailureDomain, LinkBytesPerSecond: s.LinkBytesPerSecond}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
--- a/pkg/sidecar/peers.go
+++ b/pkg/sidecar/peers.go
@@ -32,6 +32,8 @@
 	mu      sync.Mutex
 	dialed  map[string]*peer
 	inbound map[*link.Link]struct{}
+	// told is what nodes said last of the servers beside them, by node.
+	told map[string]toldServer
 	// asking tells which tables have been asked for at a peer.
 	asking sync.Map
 }
@@ -40,6 +42,7 @@
 	return &peers{
 		node: n, known: make(chan []rowcache.Row, 1), introduced: make(chan link.Hello, introductions),
 		dialed: make(map[string]*peer), inbound: make(map[*link.Link]struct{}),
+		told: make(map[string]toldServer),
 	}
 }
 
@@ -221,6 +224,7 @@
 // greet tells a peer the state of the server and of the copies.
 func (p *peers) greet(l *link.Link) {
 	_ = l.Send(link.KindServer, p.node.serverState(time.Now())) // a lost link greets again
+	p.recall(l)
 	_ = l.Send(link.KindVersions, p.node.versions())
 	for _, e := range p.node.rollouts.Evidence() { // a restarted peer has none
 		_ = l.Send(link.KindEvidence, link.Evidence{Evidence: e})
--- a/pkg/sidecar/server.go
+++ b/pkg/sidecar/server.go
@@ -28,15 +28,15 @@
 		return link.Server{}
 	}
 	return link.Server{
-		Known: true, Service: s.Service, Version: s.Version, Incarnation: gate.Incarnation(s),
+		Known: true, Service: s.Service, Version: s.Version, Incarnation: s.Incarnation(),
 		FailureDomain: s.FailureDomain, Slots: s.Slots, WarmUpMs: s.WarmUp.Milliseconds(), LinkBytesPerSecond: n.settings.LinkBytesPerSecond,
-		Leaving: s.State != instance.Ready || n.closing.Load(),
+		Leaving: s.State != instance.Ready, Stopping: n.closing.Load(),
 	}
 }
 
 // placeServer makes a node's server available for requests, or takes it out.
 func (n *Node) placeServer(name string, g placement.Gate, s link.Server) {
-	if !s.Known || s.Leaving {
+	if !s.Known || s.Leaving || s.Stopping {
 		n.board.Remove(name, nil)
 		return
 	}
--- a/pkg/sidecar/tunables.go
+++ b/pkg/sidecar/tunables.go
@@ -56,6 +56,9 @@
 	// heartbeatsMissed is how many heartbeats a server may miss; single
 	// heartbeats arrive seconds late.
 	heartbeatsMissed = 4
+	// recallMargin is added to the time of a heartbeat, and left before the bound of a
+	// leave, for a server that peers remember.
+	recallMargin = 300 * time.Millisecond
 	// serverCheckInterval is how often lost servers are looked for.
 	serverCheckInterval = 250 * time.Millisecond
 	// rolloutInterval is how often evidence is sent and orders are decided.
