Leave failing servers out while the others fail less

Change: the failure rate fades with time at the gate and is told to all nodes when it crosses 0.3 and 0.15; placement leaves out servers that fail 0.25 more than the others; only successes count for service times; a server that hangs counts as failing.

--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -23,6 +23,7 @@
 	MeshJoined         = Event{301, Info, "node has joined the mesh"}
 	MeshJoinFailed     = Event{302, Warning, "no peer answered the request to join; the node tries again"}
 	UpstreamAnnounced  = Event{401, Info, "upstream is announced"}
+	UpstreamFailing    = Event{413, Warning, "upstream begins or ends to fail many requests"}
 	UpstreamRecalled   = Event{412, Info, "upstream is taken from a peer's memory until its next heartbeat"}
 	UpstreamDraining   = Event{402, Info, "upstream is draining"}
 	UpstreamLost       = Event{403, Warning, "upstream stopped renewing its announcement"}
@@ -65,7 +66,7 @@
 		RevisionInForce, RevisionRejected, EditAccepted, EditRefused, EditUnknown,
 		FloorEstablished, FloorUnknown, FloorNotKept,
 		MeshJoined, MeshJoinFailed,
-		UpstreamAnnounced, UpstreamRecalled, UpstreamDraining, UpstreamLost, HTTPServer,
+		UpstreamAnnounced, UpstreamFailing, UpstreamRecalled, UpstreamDraining, UpstreamLost, HTTPServer,
 		SettingsReloaded, SettingsRejected, LogLinesDropped,
 		PeerUp, PeerDown, PeerFrameMalformed, PeerRowsTaken, PeerIntroduced, FollowsFeed, LeavesFeed, HeartbeatMalformed, HeartbeatOutdated,
 		RequestMalformed, RequestNoRoute, RequestAttempt, RequestRefused, RequestFailed, UpstreamRefuses,
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -35,7 +35,7 @@
 	line    *Line
 	times   *serviceTimes
 	sizes   *responseSizes
-	failing float64 // recent share of failed requests
+	failing failures
 	closed  bool
 }
 
@@ -64,7 +64,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	running, waiting, slots := g.line.Load()
-	return call.Load{Running: running, Waiting: waiting, Slots: slots, ServiceTime: g.times.mean(), FailureRate: g.failing, Uplink: g.opts.Uplink.Backlog(time.Now())}
+	now := time.Now()
+	return call.Load{
+		Running: running, Waiting: waiting, Slots: slots, ServiceTime: g.times.mean(),
+		FailureRate: g.failing.rate(now), Uplink: g.opts.Uplink.Backlog(now),
+	}
 }
 
 // ServerChanged applies a new incarnation or state of the server to the line.
@@ -83,7 +87,7 @@
 func (g *Gate) NewIncarnation(now time.Time) {
 	g.opts.Client.Close()
 	g.mu.Lock()
-	g.failing = 0
+	g.failing = failures{}
 	g.mu.Unlock()
 	g.ServerChanged(now)
 }
@@ -239,22 +243,23 @@
 	return ""
 }
 
+// observe learns from an outcome. When the caller has left, only a server that took far
+// longer than usual is held to have failed.
 func (g *Gate) observe(ctx context.Context, req *call.Request, version string, res call.Response, took time.Duration) {
-	if ctx.Err() != nil {
-		return // the caller left; the outcome says nothing of the server
-	}
-	failed := 0.0
-	if Failed(res) {
-		failed = 1
-	}
+	left := ctx.Err() != nil
+	now := time.Now()
 	g.mu.Lock()
-	if res.Answered() {
+	if !left || took > hangFactor*g.times.of(req.Route) {
+		g.failing.observe(now, left || Failed(res))
+	}
+	if !left && res.Answered() && !Failed(res) { // failures are often faster than service
 		g.times.observe(req.Route, took)
 		g.sizes.observe(req.Route, len(res.Body))
 	}
-	g.failing += failureWeight * (failed - g.failing)
 	g.mu.Unlock()
-	g.opts.Observer.Served(time.Now(), req, version, res, took)
+	if !left {
+		g.opts.Observer.Served(now, req, version, res, took)
+	}
 }
 
 // Failed reports whether the outcome counts against the server.
--- a/pkg/gate/tunables.go
+++ b/pkg/gate/tunables.go
@@ -13,6 +13,11 @@
 	// failureWeight is the weight of one outcome in the failure rate, so that
 	// about twenty requests decide it.
 	failureWeight = 0.08
+	// failureMemory is the time in which the failure rate fades without outcomes.
+	failureMemory = 3 * time.Second
+	// hangFactor is how many mean service times a request must have run for the
+	// server to count as failing when its caller leaves.
+	hangFactor = 5
 	// serviceReserve is how many mean service times must be left to the target
 	// when a request starts. About nine of ten requests take less than twice
 	// the mean in the deployments.
--- a/pkg/link/frames.go
+++ b/pkg/link/frames.go
@@ -33,6 +33,8 @@
 	Leaving bool `cbor:"7,keyasint,omitempty"`
 	// Stopping tells that the node stops, while the server goes on.
 	Stopping bool `cbor:"10,keyasint,omitempty"`
+	// FailureRate is the recent share of requests that the server failed, 0 to 1.
+	FailureRate float64 `cbor:"11,keyasint,omitempty"`
 	// WarmUpMs is how much longer the server is slow, in milliseconds.
 	WarmUpMs int64 `cbor:"8,keyasint,omitempty"`
 	// LinkBytesPerSecond is the rate of the instance's network link; 0 is unknown.
--- a/pkg/placement/board.go
+++ b/pkg/placement/board.go
@@ -27,7 +27,7 @@
 
 // Set makes a node's server available. What was observed of another incarnation
 // is forgotten.
-func (b *Board) Set(name string, gate Gate, server Server) {
+func (b *Board) Set(now time.Time, name string, gate Gate, server Server) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	n, ok := b.nodes[name]
@@ -36,6 +36,7 @@
 		b.nodes[name] = n
 	}
 	n.gate, n.server = gate, server
+	n.load.FailureRate, n.reportedAt = server.FailureRate, now
 }
 
 // Remove takes a node's server out if it is still reached through the gate; nil
@@ -74,7 +75,7 @@
 func (b *Board) Pick(now time.Time, q Query) (Choice, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	candidates := b.candidates(q)
+	candidates := withoutOutliers(now, b.candidates(q))
 	usual := 0.0
 	for _, n := range candidates {
 		usual += n.utilisation() / float64(len(candidates))
--- a/pkg/placement/node.go
+++ b/pkg/placement/node.go
@@ -34,6 +34,8 @@
 	LinkBytesPerSecond float64
 	// WarmUntil is when the server reaches its full speed.
 	WarmUntil time.Time
+	// FailureRate is the recent share of requests that the server failed, 0 to 1.
+	FailureRate float64
 }
 
 // node is a node whose server takes requests. The board's lock guards it.
@@ -93,8 +95,7 @@
 	if busy+1 > slots {
 		cost += (busy + 1 - slots) / slots * serve
 	}
-	failing := n.load.FailureRate / (1 + age/failureMemory.Seconds())
-	cost += failurePenalty * failing * serve
+	cost += failurePenalty * n.failing(now) * serve
 	if size >= largeResponse {
 		cost += n.transmission(age, from, size)
 	}
@@ -118,3 +119,8 @@
 	}
 	return took
 }
+
+// failing is the last reported share of requests that the server failed.
+func (n *node) failing(now time.Time) float64 {
+	return n.load.FailureRate / (1 + now.Sub(n.reportedAt).Seconds()/failureMemory.Seconds())
+}
--- /dev/null
+++ b/pkg/placement/outliers_test.go
@@ -0,0 +1,83 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"corianderwood.example/corianderwood/pkg/call"
+)
+
+// replayFastFailure sends 300 requests a second for 10 s from 30 nodes to 6 servers, of
+// which the first fails each request after 1 ms. With announcements every node learns
+// of the failure rate, which is followed as the gate beside the server does. It returns
+// the share of requests that failed.
+func replayFastFailure(announced bool) float64 {
+	const origins, servers, requests, gap = 30, 6, 3000, 10 * time.Second / 3000
+	start := time.Unix(1000, 0)
+	boards := make([]*Board, origins)
+	set := func(now time.Time, b *Board, i int, rate float64) {
+		b.Set(now, fmt.Sprint(i), stubGate{}, Server{Service: "s", Incarnation: "x", FailureDomain: "a", Slots: 8, FailureRate: rate})
+	}
+	for o := range boards {
+		boards[o] = NewBoard(Place{FailureDomain: "a"}, rand.New(rand.NewPCG(1, uint64(o))))
+		for i := range servers {
+			set(start, boards[o], i, 0)
+		}
+	}
+	rnd := rand.New(rand.NewPCG(2, 2))
+	failed, rate := 0, 0.0
+	failing := false
+	for r := range requests {
+		now := start.Add(time.Duration(r) * gap)
+		rate *= 1 - gap.Seconds()/3 // fades in three seconds
+		board := boards[rnd.IntN(origins)]
+		choice, _ := board.Pick(now, Query{Service: "s"})
+		load := call.Load{Slots: 8, Running: 3, ServiceTime: 60 * time.Millisecond}
+		res := call.Response{Status: 200, Ran: "yes"}
+		if choice.Node == "0" {
+			failed++
+			rate += 0.08 * (1 - rate)
+			load = call.Load{Slots: 8, ServiceTime: 60 * time.Millisecond, FailureRate: rate}
+			res.Status = 500
+		}
+		res.Load = load
+		choice.Done(now, "route", res)
+		if is := rate > 0.3 || failing && rate > 0.15; announced && is != failing {
+			failing = is
+			for _, b := range boards {
+				set(now, b, 0, rate)
+			}
+		}
+	}
+	return float64(failed) / requests
+}
+
+// Guards against a server that fails fast, looks idle and draws more requests than the
+// sound ones. In the baseline each node finds out by itself.
+func TestReplayFastFailingServer(t *testing.T) {
+	baseline, got := replayFastFailure(false), replayFastFailure(true)
+	t.Logf("failed %.3f of the requests; when each node finds out by itself: %.3f", got, baseline)
+	const fairShare = 1.0 / 6
+	if got > fairShare/3 || got > baseline/2 {
+		t.Errorf("failed %.3f of the requests, baseline %.3f, fair share %.3f", got, baseline, fairShare)
+	}
+}
+
+// Guards against servers that are left out for failures that all of them share, as of a
+// service that all call: the load would move to ever fewer servers.
+func TestSharedFailuresLeaveNoneOut(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var nodes []*node
+	for i := range 6 {
+		nodes = append(nodes, &node{name: fmt.Sprint(i), reportedAt: now, load: call.Load{FailureRate: 0.4 + 0.05*float64(i%3)}})
+	}
+	if n := len(withoutOutliers(now, nodes)); n != len(nodes) {
+		t.Errorf("%d of %d servers are left", n, len(nodes))
+	}
+	nodes[2].load.FailureRate = 0.95
+	if n := len(withoutOutliers(now, nodes)); n != len(nodes)-1 {
+		t.Errorf("%d of %d servers are left beside an outlier", n, len(nodes))
+	}
+}
--- a/pkg/placement/replay_test.go
+++ b/pkg/placement/replay_test.go
@@ -82,7 +82,7 @@
 		servers[i] = &simServer{free: make([]time.Time, p.slots)}
 		capacity += float64(p.slots) / (p.mean.Seconds() * speed)
 		for _, b := range boards {
-			b.Set(fmt.Sprint(i), stubGate{}, Server{Service: "s", Incarnation: "x", FailureDomain: "a", Slots: p.slots})
+			b.Set(start, fmt.Sprint(i), stubGate{}, Server{Service: "s", Incarnation: "x", FailureDomain: "a", Slots: p.slots})
 		}
 	}
 	rate := capacity * p.utilisation
--- a/pkg/placement/tunables.go
+++ b/pkg/placement/tunables.go
@@ -18,7 +18,11 @@
 	failurePenalty = 6.0
 	// failureMemory is how fast a reported failure rate fades, so that a server
 	// that has recovered is tried again.
-	failureMemory = 2 * time.Second
+	failureMemory = 10 * time.Second
+	// outlierExcess is by how much a server's failure rate must exceed the mean of the
+	// others of its service for the server to be left out. Failures that all servers
+	// share, as of a service that they call, leave none out.
+	outlierExcess = 0.25
 	// utilisationPenalty is the part of a service time by which a nearly full
 	// server is put back; some servers slow down when nearly full.
 	utilisationPenalty = 0.3
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -52,6 +52,7 @@
 	table    atomic.Pointer[routing.Table]
 	closing  atomic.Bool // no new work is wanted
 	refusing atomic.Bool // requests of clients are refused
+	failing  atomic.Bool // peers were told that the server fails many requests
 	// recallEnded tells that a peer knows of the leave of the server beside the node.
 	recallEnded atomic.Bool
 	malformed   *rate.Limiter
--- a/pkg/sidecar/server.go
+++ b/pkg/sidecar/server.go
@@ -30,7 +30,8 @@
 	return link.Server{
 		Known: true, Service: s.Service, Version: s.Version, Incarnation: s.Incarnation(),
 		FailureDomain: s.FailureDomain, Slots: s.Slots, WarmUpMs: s.WarmUp.Milliseconds(), LinkBytesPerSecond: n.settings.LinkBytesPerSecond,
-		Leaving: s.State != instance.Ready, Stopping: n.closing.Load(),
+		FailureRate: n.gate.Load().FailureRate,
+		Leaving:     s.State != instance.Ready, Stopping: n.closing.Load(),
 	}
 }
 
@@ -42,9 +43,10 @@
 	}
 	now := time.Now()
 	n.rollouts.Sighted(now, s.Service, s.Version)
-	n.board.Set(name, g, placement.Server{
+	n.board.Set(now, name, g, placement.Server{
 		Service: s.Service, Version: s.Version, Incarnation: s.Incarnation, FailureDomain: s.FailureDomain,
-		Slots: s.Slots, LinkBytesPerSecond: s.LinkBytesPerSecond, WarmUntil: now.Add(time.Duration(s.WarmUpMs) * time.Millisecond),
+		FailureRate: s.FailureRate,
+		Slots:       s.Slots, LinkBytesPerSecond: s.LinkBytesPerSecond, WarmUntil: now.Add(time.Duration(s.WarmUpMs) * time.Millisecond),
 	})
 }
 
@@ -59,16 +61,32 @@
 			event.UpstreamLost.Log("server", told.Incarnation)
 			n.gate.ServerChanged(time.Now())
 			n.announceServer()
+			return
 		}
+		n.announceFailing()
 	})
 }
 
+// announceFailing tells peers when the server beside the node begins to fail many
+// requests, and when it may be tried again. Each peer by itself would find out from
+// requests of its own.
+func (n *Node) announceFailing() {
+	rate := n.gate.Load().FailureRate
+	was := n.failing.Load()
+	if is := rate > failingRate || was && rate > recoveredRate; is != was {
+		n.failing.Store(is)
+		event.UpstreamFailing.Log("failing", is, "rate", rate)
+		n.announceServer()
+	}
+}
+
 // observer learns the outcomes at the server beside the node.
 type observer Node
 
 // Served implements gate.Observer.
 func (o *observer) Served(now time.Time, req *call.Request, version string, res call.Response, took time.Duration) {
 	n := (*Node)(o)
+	n.announceFailing()
 	if res.Refusal == reason.UpstreamConnect {
 		event.UpstreamRefuses.Log("request", req.ID)
 		n.tracker.MarkDown()
--- a/pkg/sidecar/tunables.go
+++ b/pkg/sidecar/tunables.go
@@ -59,6 +59,10 @@
 	// recallMargin is added to the time of a heartbeat, and left before the bound of a
 	// leave, for a server that peers remember.
 	recallMargin = 300 * time.Millisecond
+	// failingRate and recoveredRate are the failure rates at which peers are told that
+	// the server beside the node fails and that it may be tried again.
+	failingRate   = 0.3
+	recoveredRate = 0.15
 	// serverCheckInterval is how often lost servers are looked for.
 	serverCheckInterval = 250 * time.Millisecond
 	// rolloutInterval is how often evidence is sent and orders are decided.
