Leave room in the bound on repeats

Cause: the two parts of the bound add up to the whole of it at a service whose requests all come from one other service; the comment said nine tenths. Change: 0.6 and 0.25 instead of 0.7 and 0.3.

--- a/pkg/entrance/tunables.go
+++ b/pkg/entrance/tunables.go
@@ -5,10 +5,11 @@
 const (
 	// nestedRepeats and clientRepeats are the parts of the deployment's ratio that
 	// repeats of nested requests and of others may use. The requests that a repeated
-	// request makes count as repeats too; with about 1.4 of them, both parts together
-	// stay below nine tenths of the ratio at the service that is called.
-	nestedRepeats = 0.7
-	clientRepeats = 0.3
+	// request makes count as repeats too. Where all nested requests of a service come
+	// from requests of one other service, the two parts add up; the rest is left for
+	// windows that hold fewer requests than the one before.
+	nestedRepeats = 0.6
+	clientRepeats = 0.25
 	// maxPlacements bounds the gates that one request is offered to.
 	maxPlacements = 4
 	// minRepeatTime is the time that must be left for a repeated request.
