Take the age of a roll-out from steady clocks, not from the time of day

Cause: the record of a roll-out held the writer's time of day. Change: nodes tell the age of an order by their steady clocks with the evidence; the record holds no time. A node without a peer that knows counts from its own start.

--- a/pkg/rollout/evidence.go
+++ b/pkg/rollout/evidence.go
@@ -12,6 +12,9 @@
 	Process uint64 `cbor:"6,keyasint"`
 	// Routes holds the counts by route.
 	Routes map[string]RouteEvidence `cbor:"5,keyasint"`
+	// ElapsedMs is the sender's time since the order, by its steady clock, in
+	// milliseconds; a node that was restarted learns the start of the order from it.
+	ElapsedMs int64 `cbor:"7,keyasint,omitempty"`
 }
 
 // latencyBuckets is the number of buckets; bucket i holds latencies of at most
--- a/pkg/rollout/progress.go
+++ b/pkg/rollout/progress.go
@@ -41,6 +41,9 @@
 	return want
 }
 
+// elapsed is the time since the order in milliseconds.
+func (p *progress) elapsed(now time.Time) int64 { return now.Sub(p.started).Milliseconds() }
+
 // recordAt is when the take-over is recorded.
 func (p *progress) recordAt() time.Time {
 	return p.started.Add(p.order.Window - recordMargin)
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -48,7 +48,7 @@
 			for _, r := range recorders {
 				if e, ok := r.Take(); ok {
 					for _, t := range trackers {
-						t.Observe(e)
+						t.Observe(start, e)
 					}
 				}
 			}
@@ -150,22 +150,22 @@
 	}
 	tr := NewTracker(Bounds{Share: 0.1, Extra: 50})
 	tr.Begin(order, start)
-	tr.Observe(count(1, "v1", 500, 1))
-	tr.Observe(count(1, "v2", 20, 3))
+	tr.Observe(start, count(1, "v1", 500, 1))
+	tr.Observe(start, count(1, "v2", 20, 3))
 	if d := tr.Decide(start); len(d) != 1 || d[0].State != Running {
 		t.Errorf("three failures: %+v", d)
 	}
 	if d := tr.Decide(start.Add(order.Window)); d[0].State != Running {
 		t.Errorf("a suspect version: %s", d[0].State)
 	}
-	tr.Observe(count(2, "v2", 20, 3)) // the node beside the server was restarted
+	tr.Observe(start, count(2, "v2", 20, 3)) // the node beside the server was restarted
 	if d := tr.Decide(start); len(d) != 1 || d[0].State != RolledBack {
 		t.Errorf("six failures, counted by two processes: %+v", d)
 	}
 	restarted := NewTracker(Bounds{Share: 0.1, Extra: 50})
 	restarted.Begin(order, start)
-	for _, e := range tr.Evidence() {
-		restarted.Observe(e)
+	for _, e := range tr.Evidence(start) {
+		restarted.Observe(start, e)
 	}
 	if d := restarted.Decide(start); d[0].State != RolledBack {
 		t.Errorf("with the evidence of a peer: %s", d[0].State)
@@ -190,3 +190,22 @@
 		t.Error("an older order replaces a newer one")
 	}
 }
+
+// Guards against a restarted node that completes a roll-out early or keeps a start of
+// its own: it learns the age of the order from its peers and from no wall clock.
+func TestRestartedNodeLearnsStart(t *testing.T) {
+	order := Order{Service: "s", Target: "v2", Window: 15 * time.Second, Revision: 31}
+	peer, restarted := NewTracker(Bounds{}), NewTracker(Bounds{})
+	peer.Begin(order, start)
+	now := start.Add(9 * time.Second)
+	restarted.Begin(order, now)
+	if d := restarted.Decide(now); d[0].Started != now {
+		t.Errorf("started %v without a word of a peer", d[0].Started)
+	}
+	for _, e := range peer.Evidence(now) {
+		restarted.Observe(now, e)
+	}
+	if d := restarted.Decide(now); !d[0].Started.Equal(start) {
+		t.Errorf("started %v, want %v", d[0].Started, start)
+	}
+}
--- a/pkg/rollout/tracker.go
+++ b/pkg/rollout/tracker.go
@@ -35,8 +35,9 @@
 	t.nodes = n
 }
 
-// Begin takes an order. Started is when it was given. It reports whether the
-// order is new.
+// Begin takes an order. Started is when this node learned of it, by its steady clock;
+// a node that was restarted learns the earlier start from its peers' evidence. It
+// reports whether the order is new.
 func (t *Tracker) Begin(o Order, started time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -67,13 +68,16 @@
 }
 
 // Observe merges the evidence of one server.
-func (t *Tracker) Observe(e Evidence) {
+func (t *Tracker) Observe(now time.Time, e Evidence) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p, ok := t.orders[e.Service]
 	if !ok || p.order.Revision != e.Order {
 		return
 	}
+	if start := now.Add(-time.Duration(e.ElapsedMs) * time.Millisecond); start.Before(p.started) {
+		p.started = start
+	}
 	from := source{e.Incarnation, e.Process}
 	known, ok := p.evidence[from]
 	if !ok || total(e) >= total(known) {
@@ -81,8 +85,9 @@
 	}
 }
 
-// Evidence returns all evidence on the orders that are running.
-func (t *Tracker) Evidence() []Evidence {
+// Evidence returns all evidence on the orders that are running, and for each order one
+// entry without counts that tells its age.
+func (t *Tracker) Evidence(now time.Time) []Evidence {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []Evidence
@@ -90,7 +95,9 @@
 		if p.state != Running {
 			continue
 		}
+		out = append(out, Evidence{Service: p.order.Service, Order: p.order.Revision, ElapsedMs: p.elapsed(now)})
 		for _, e := range p.evidence {
+			e.ElapsedMs = p.elapsed(now)
 			out = append(out, e)
 		}
 	}
--- a/pkg/sidecar/apply.go
+++ b/pkg/sidecar/apply.go
@@ -103,7 +103,7 @@
 			event.MoveOrderMalformed.LogError(err, "row", row.Key)
 			continue
 		}
-		n.rollouts.Begin(record.order(service), time.UnixMilli(record.StartedMs))
+		n.rollouts.Begin(record.order(service), time.Now())
 		if n.rollouts.Settle(service, record.Order, record.State, true) {
 			event.MoveOutcome.Log("service", service, "target", record.Target, "state", record.State, "row", row.Version)
 		}
--- a/pkg/sidecar/handler.go
+++ b/pkg/sidecar/handler.go
@@ -124,7 +124,7 @@
 }
 
 // Evidence merges what a peer's server did in a roll-out.
-func (h *handler) Evidence(_ *link.Link, e link.Evidence) { h.rollouts.Observe(e.Evidence) }
+func (h *handler) Evidence(_ *link.Link, e link.Evidence) { h.rollouts.Observe(time.Now(), e.Evidence) }
 
 // Malformed records a frame that can't be read.
 func (h *handler) Malformed(l *link.Link, err error) {
--- a/pkg/sidecar/moves.go
+++ b/pkg/sidecar/moves.go
@@ -18,11 +18,10 @@
 // moveRecord is the row that tells all nodes where a roll-out stands. It is
 // written together with the operator's status, so that both always agree.
 type moveRecord struct {
-	Target    string        `cbor:"1,keyasint"`
-	Order     uint64        `cbor:"2,keyasint"`
-	State     rollout.State `cbor:"3,keyasint"`
-	StartedMs int64         `cbor:"4,keyasint"` // Unix milliseconds, by the writer's clock
-	WindowMs  int64         `cbor:"5,keyasint"`
+	Target   string        `cbor:"1,keyasint"`
+	Order    uint64        `cbor:"2,keyasint"`
+	State    rollout.State `cbor:"3,keyasint"`
+	WindowMs int64         `cbor:"5,keyasint"`
 }
 
 func (r moveRecord) order(service string) rollout.Order {
@@ -34,7 +33,7 @@
 	recorder := moveRecorder{node: n, since: make(map[moveKey]time.Time)}
 	every(ctx, time.NewTicker(rolloutInterval), func() {
 		if evidence, ok := n.recorder.Take(); ok {
-			n.rollouts.Observe(evidence)
+			n.rollouts.Observe(time.Now(), evidence)
 			n.peers.broadcast(link.KindEvidence, link.Evidence{Evidence: evidence})
 		}
 		for _, d := range n.rollouts.Decide(time.Now()) {
@@ -109,7 +108,7 @@
 	}
 	value, err := cbor.Marshal(moveRecord{
 		Target: d.Order.Target, Order: d.Order.Revision, State: d.State,
-		StartedMs: d.Started.UnixMilli(), WindowMs: d.Order.Window.Milliseconds(),
+		WindowMs: d.Order.Window.Milliseconds(),
 	})
 	if err != nil {
 		event.MoveOutcomePending.LogError(err)
--- a/pkg/sidecar/peers.go
+++ b/pkg/sidecar/peers.go
@@ -226,7 +226,7 @@
 	_ = l.Send(link.KindServer, p.node.serverState(time.Now())) // a lost link greets again
 	p.recall(l)
 	_ = l.Send(link.KindVersions, p.node.versions())
-	for _, e := range p.node.rollouts.Evidence() { // a restarted peer has none
+	for _, e := range p.node.rollouts.Evidence(time.Now()) { // a restarted peer has none
 		_ = l.Send(link.KindEvidence, link.Evidence{Evidence: e})
 	}
 }
