--- a/harness/soak/soak.go
+++ b/harness/soak/soak.go
@@ -19,9 +19,6 @@
 	heartbeat      = 300 * time.Millisecond
 	// settleTime is the time in which a fleet recovers after all faults have ended.
 	settleTime = 15 * time.Second
-	// configurationBound is the time in which a configuration is in force on nodes
-	// that run undisturbed.
-	configurationBound = 2 * time.Second
 )
 
 // Options of one run.
@@ -46,8 +43,6 @@
 
 	mu      sync.Mutex
 	version int // newest configuration
-	// troubled is until when the store and the links may be disturbed.
-	troubled time.Time
 }
 
 // Result is what a run has shown.
