Keep the platform's names and formats of the soak in platform/storetest

Cause: the soak spelled headers, settings, heartbeats and configurations outside the adapter's folder. Change: storetest holds the formats, the soak takes the names of headers from platform.

--- a/harness/soak/client.go
+++ b/harness/soak/client.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"corianderwood.example/corianderwood/platform/storetest"
 )
 
 var attempts atomic.Int64
@@ -55,8 +57,8 @@
 		return false
 	case status == http.StatusOK:
 		want := fmt.Sprintf("%s %s body-%s", service, id, id)
-		if body != want || header.Get("X-Corianderwood-Response-Signature") != signature+id {
-			c.soak.checker.Broken("%s got the answer %q signed %q", id, body, header.Get("X-Corianderwood-Response-Signature"))
+		if body != want || header.Get(headers.Signature) != signature+id {
+			c.soak.checker.Broken("%s got the answer %q signed %q", id, body, header.Get(headers.Signature))
 		}
 	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
 		c.soak.checker.Refused(id, status)
@@ -74,14 +76,14 @@
 func (c *client) exchange(method, path, id string) (int, string, http.Header, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), clientDeadline)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.instance.at(clientPort)+path, strings.NewReader("body-"+id))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.instance.at(storetest.ClientPort)+path, strings.NewReader("body-"+id))
 	if err != nil {
 		return 0, "", nil, err
 	}
-	req.Host = "soak.example"
-	req.Header.Set("X-Corianderwood-Request-Id", id)
-	req.Header.Set("X-Corianderwood-Deadline-Ms", fmt.Sprint(clientDeadline.Milliseconds()))
-	req.Header.Set("X-Corianderwood-Caller-Service", "forged")
+	req.Host = host
+	req.Header.Set(headers.RequestID, id)
+	req.Header.Set(headers.Deadline, fmt.Sprint(clientDeadline.Milliseconds()))
+	req.Header.Set(headers.CallerService, "forged")
 	// A transport that repeats a request by itself would look like a node that does.
 	req.GetBody = nil
 	res, err := c.http.Do(req)
--- a/harness/soak/instance.go
+++ b/harness/soak/instance.go
@@ -10,6 +10,9 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"corianderwood.example/corianderwood/platform"
+	"corianderwood.example/corianderwood/platform/storetest"
 )
 
 // Instance is one node process with the server beside it. mu guards the process.
@@ -32,36 +35,11 @@
 	log       *os.File
 }
 
-// Addresses of a node; every instance has an IP address of its own.
-const (
-	clientPort, readyPort, controlPort, serverPort, peerPort = 8301, 8302, 8303, 8300, 7620
-	metricsPort                                              = 9464
-)
-
 func (i *Instance) at(port int) string { return net.JoinHostPort(i.ip, fmt.Sprint(port)) }
 
-// writeSettings writes the settings file in the platform's format.
+// writeSettings writes the settings file.
 func (i *Instance) writeSettings(store string) error {
-	text := fmt.Sprintf(`node = %q
-role = "node"
-ip = %q
-zone = "a"
-portRange = [%d,%d]
-heartbeat = "300ms"
-bounds = ["drain=2000ms","grace=6s","retryBudgetRatio=0.2","budgetWindow=10s","retryBudgetExtra=64"]
-appAddr = %q
-service = %q
-[listen]
-outbound = %q
-ready = %q
-control = %q
-[limits]
-memoryMb = 284
-linkMbps = 1000.0
-[platform]
-address = %q
-`, i.name, i.ip, peerPort, peerPort+15, i.at(serverPort), i.service, i.at(clientPort), i.at(readyPort), i.at(controlPort), store)
-	return os.WriteFile(i.settings(), []byte(text), 0o600)
+	return os.WriteFile(i.settings(), []byte(storetest.Settings(i.name, i.ip, i.service, store)), 0o600)
 }
 
 func (i *Instance) settings() string { return filepath.Join(i.dir, i.name+".toml") }
@@ -81,7 +59,7 @@
 		i.log = log
 	}
 	cmd := exec.Command(i.binary, "sidecar")
-	cmd.Env = append(os.Environ(), "CORIANDERWOOD_NODE_FILE="+i.settings())
+	cmd.Env = append(os.Environ(), platform.SettingsFileVariable+"="+i.settings())
 	cmd.Stdout, cmd.Stderr = i.log, i.log
 	if err := cmd.Start(); err != nil {
 		return err
@@ -138,7 +116,7 @@
 
 // Ready asks the node whether clients may send requests.
 func (i *Instance) Ready() bool {
-	res, err := (&http.Client{Timeout: 500 * time.Millisecond}).Get("http://" + i.at(readyPort) + "/-/readiness")
+	res, err := (&http.Client{Timeout: 500 * time.Millisecond}).Get("http://" + i.at(storetest.ReadyPort) + storetest.ReadyPath)
 	if err != nil {
 		return false
 	}
--- a/harness/soak/server.go
+++ b/harness/soak/server.go
@@ -9,8 +9,14 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"corianderwood.example/corianderwood/platform"
+	"corianderwood.example/corianderwood/platform/storetest"
 )
 
+// headers are the names of the deployment's headers.
+var headers = platform.Headers()
+
 // Trouble is how a server misbehaves.
 type Trouble int
 
@@ -91,10 +97,9 @@
 	s.mu.Lock()
 	s.sequence++
 	id, state := s.id, s.state
-	body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a","version":"v1","slots":%d,"state":%q,"cold_time":"0ms","seq":%d,"born":%d}`,
-		s.service, s.address, slots, state, s.sequence, s.born)
+	body := storetest.Heartbeat(s.service, s.address, slots, state, s.sequence, s.born)
 	s.mu.Unlock()
-	req, err := http.NewRequest(http.MethodPut, "http://"+control+"/-/instances/"+id, bytes.NewBufferString(body))
+	req, err := http.NewRequest(http.MethodPut, "http://"+control+storetest.HeartbeatPath(id), bytes.NewBufferString(body))
 	if err != nil {
 		s.checker.Broken("heartbeat can't be built: %v", err)
 		return
@@ -113,12 +118,12 @@
 
 // ServeHTTP runs one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get("X-Corianderwood-Request-Id")
+	id := r.Header.Get(headers.RequestID)
 	s.mu.Lock()
 	trouble, own, acked := s.trouble, s.id, s.acked
 	s.mu.Unlock()
-	w.Header().Set("X-Corianderwood-Request-Id", id)
-	if r.Header.Get("X-Corianderwood-Expect-Instance") != own {
+	w.Header().Set(headers.RequestID, id)
+	if r.Header.Get(headers.ExpectInstance) != own {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -131,12 +136,12 @@
 	}
 	hit := rand.IntN(2) == 0
 	if trouble == Shedding && hit {
-		w.Header().Set("X-Corianderwood-Not-Executed", "1")
+		w.Header().Set(headers.NotExecuted, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	s.checker.Ran(id, own)
-	if caller := r.Header.Get("X-Corianderwood-Caller-Service"); caller != "alpha" && caller != "beta" {
+	if caller := r.Header.Get(headers.CallerService); caller != "alpha" && caller != "beta" {
 		s.checker.Broken("%s names the caller %q", id, caller)
 	}
 	work := workTime
@@ -144,7 +149,7 @@
 		work *= 5
 	}
 	time.Sleep(work)
-	w.Header().Set("X-Corianderwood-Response-Signature", signature+id)
+	w.Header().Set(headers.Signature, signature+id)
 	switch {
 	case trouble == Failing && hit:
 		w.WriteHeader(http.StatusInternalServerError)
@@ -165,8 +170,8 @@
 	}
 	defer conn.Close()
 	text := fmt.Sprintf("%s %s %s", s.service, id, body)
-	response := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Corianderwood-Request-Id: %s\r\nX-Corianderwood-Response-Signature: %s\r\nContent-Length: %d\r\n\r\n%s",
-		id, signature+id, len(text), text)
+	response := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s",
+		headers.RequestID, id, headers.Signature, signature+id, len(text), text)
 	_, _ = out.WriteString(response + response) // the node may have left
 	_ = out.Flush()
 }
--- a/harness/soak/soak.go
+++ b/harness/soak/soak.go
@@ -14,6 +14,7 @@
 )
 
 const (
+	host           = "soak.example"
 	clientPause    = 15 * time.Millisecond
 	clientDeadline = 2 * time.Second
 	heartbeat      = 300 * time.Millisecond
@@ -93,7 +94,7 @@
 			name: fmt.Sprintf("node-%d", n), ip: fmt.Sprintf("127.7.0.%d", n+1), service: []string{"alpha", "beta"}[n%2],
 			dir: s.opts.Dir, binary: s.opts.Binary, checker: s.checker,
 		}
-		server, err := NewServer(i.name, i.service, i.at(serverPort), s.checker)
+		server, err := NewServer(i.name, i.service, i.at(storetest.ServerPort), s.checker)
 		if err != nil {
 			return err
 		}
@@ -111,7 +112,7 @@
 		if err := i.Start(); err != nil {
 			return err
 		}
-		s.every(heartbeat, func() { i.server.Heartbeat(i.at(controlPort)) })
+		s.every(heartbeat, func() { i.server.Heartbeat(i.at(storetest.ControlPort)) })
 	}
 	return nil
 }
@@ -123,7 +124,7 @@
 		if other == reader {
 			continue
 		}
-		p, err := NewProxy(reader.ip, other.at(peerPort))
+		p, err := NewProxy(reader.ip, other.at(storetest.PeerPort))
 		if err != nil {
 			return "", err
 		}
@@ -173,16 +174,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
-	rule := func(name, kind, prefix, service string) string {
-		return fmt.Sprintf(`{"name":%q,"kind":%q,"targetLatency":"400ms","priority":1,"match":{"prefix":%q},"action":{"service":%q,"timeout":"2s","attempts":3}}`,
-			name, kind, prefix, service)
+	rule := func(name, kind, prefix, service string) storetest.Rule {
+		return storetest.Rule{Name: name, Kind: kind, Prefix: prefix, Service: service,
+			Target: 400 * time.Millisecond, Timeout: clientDeadline, Attempts: 3}
 	}
-	rules := []string{
+	s.store.PutConfiguration(s.version, host, []storetest.Rule{
 		rule("read", "safe", "/read/", "alpha"), rule("order", "unsafe", "/order/", "beta"),
 		rule("own", "safe", fmt.Sprintf("/v%d/", s.version), "alpha"),
-	}
-	s.store.Put("op", "config", []byte(fmt.Sprintf(`{"version":"%08x","limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000000,"headerTimeout":"3s","idleTimeout":"15s"},
-"listeners":[{"host":"soak.example","rules":[%s]}],"clusters":[{"name":"alpha"},{"name":"beta"}]}`, s.version, strings.Join(rules, ","))))
+	}, []string{"alpha", "beta"})
 }
 
 func (s *Soak) newest() int {
