--- a/pkg/sidecar/moves.go
+++ b/pkg/sidecar/moves.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"hash/fnv"
 	"slices"
 	"time"
 
@@ -84,11 +83,7 @@
 // see the same peers.
 func (r *moveRecorder) turn(d rollout.Decision) int {
 	names := append(r.node.peers.names(), r.node.settings.Node)
-	rank := func(name string) uint64 {
-		h := fnv.New64a()
-		_, _ = h.Write([]byte(d.Order.Service + "/" + name)) // never fails
-		return h.Sum64()
-	}
+	rank := func(name string) uint64 { return rankHash(d.Order.Service + "/" + name) }
 	slices.SortFunc(names, func(a, b string) int {
 		if rank(a) < rank(b) {
 			return -1
