--- /dev/null
+++ b/review/cmd/casework/reorder.go
@@ -0,0 +1,164 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"corianderwood.example/review/internal/mesh"
+)
+
+// Bounds of the pages for roll-outs.
+const (
+	rollbackBound = 5 * time.Second
+	exposureShare = 0.1
+	exposureSlack = 50
+	badAnswers    = 50
+)
+
+// reorder: a version fails on one route and the mesh reports rolled_back. Its servers go on
+// to serve for some seconds, and meanwhile the operator orders a further version.
+func reorder(p *play) (finding, error) {
+	d, err := mesh.NewDeployment(p.record, "shop", "shop", "shop", "shop", "shop")
+	if err != nil {
+		return nil, err
+	}
+	p.onEnd(d.Close)
+	d.Store.Put("op", "config", mesh.Configuration(7,
+		mesh.Route{Host: "shop.example", Prefix: "/stock/", Kind: "safe", Service: "shop", TimeoutMS: 1200, Attempts: 1},
+		mesh.Route{Host: "shop.example", Prefix: "/price/", Kind: "safe", Service: "shop", TimeoutMS: 1200, Attempts: 1}))
+	if err := d.StartNodes(); err != nil {
+		return nil, err
+	}
+	f := &fleet{play: p}
+	defer f.close()
+	for i := range 2 {
+		if _, err := f.start(d.Machines[i], fmt.Sprintf("i-v1-%d", i+1), "v1", good); err != nil {
+			return nil, err
+		}
+	}
+	var stops []func()
+	for _, m := range d.Machines {
+		stops = append(stops, traffic(p, m, "shop.example", "/stock/1", 18*time.Millisecond), traffic(p, m, "shop.example", "/price/1", 55*time.Millisecond))
+	}
+	time.Sleep(4 * time.Second)
+
+	ordered := time.Now()
+	deadline := ordered.Add(8 * time.Second)
+	d.Store.Put("op", "rollout/shop", []byte(`{"service":"shop","target":"v2","duration":"8s"}`))
+	var rejected []*mesh.Server
+	for i := 2; i < 4; i++ {
+		s, err := f.start(d.Machines[i], fmt.Sprintf("i-v2-%d", i-1), "v2", failing("/price/"))
+		if err != nil {
+			return nil, err
+		}
+		rejected = append(rejected, s)
+	}
+	rolledBack, err := awaitState(d, "rolled_back", deadline)
+	if err != nil {
+		return nil, err
+	}
+	p.record.Printf("operator: sees that v2 is rolled back %.1f s after the order", rolledBack.Sub(ordered).Seconds())
+	if p.trouble {
+		time.Sleep(500 * time.Millisecond)
+		d.Store.Put("op", "rollout/shop", []byte(`{"service":"shop","target":"v3","duration":"12s"}`))
+		if _, err := f.start(d.Machines[4], "i-v3-1", "v3", good); err != nil {
+			return nil, err
+		}
+	}
+	time.Sleep(time.Until(rolledBack.Add(4 * time.Second))) // "At rolled_back, the new servers drain some seconds later."
+	for _, s := range rejected {
+		s.SetState("draining")
+		s.Send(s.Beat())
+	}
+	time.Sleep(drain + 500*time.Millisecond)
+	for _, s := range rejected {
+		s.Withdraw()
+		s.Close()
+	}
+	time.Sleep(time.Until(deadline))
+	for _, stop := range stops {
+		stop()
+	}
+
+	all, exposed, afterOutcome := 0, 0, 0
+	for _, run := range f.runs() {
+		if run.At.Before(ordered) || run.At.After(deadline) {
+			continue
+		}
+		all++
+		if strings.HasPrefix(run.Server, "i-v2") {
+			exposed++
+			if run.At.After(rolledBack.Add(time.Second)) {
+				afterOutcome++
+			}
+		}
+	}
+	allowed := exposureShare*float64(all) + exposureSlack
+	p.record.Printf("%d requests reached the service between the order and its deadline, %d of them v2, %d of those later than 1 s after rolled_back; allowed are %.0f", all, exposed, afterOutcome, allowed)
+	if float64(exposed) <= allowed {
+		return nil, nil
+	}
+	return finding{fmt.Sprintf("EXPOSURE: the bad version v2 got %d of %d requests between its order and its deadline, %d of them later than 1 s after it was reported as rolled back; allowed are %.0f", exposed, all, afterOutcome, allowed)}, nil
+}
+
+// fleet holds the servers that a case has started.
+type fleet struct {
+	play    *play
+	servers []*mesh.Server
+}
+
+func (f *fleet) start(m *mesh.Machine, id, version string, answer func(*http.Request) (int, []byte)) (*mesh.Server, error) {
+	s := mesh.NewServer(f.play.record, m, id, version)
+	s.Answer = answer
+	if err := s.Listen(); err != nil {
+		return nil, err
+	}
+	s.Heartbeats()
+	f.servers = append(f.servers, s)
+	return s, nil
+}
+
+func (f *fleet) close() {
+	for _, s := range f.servers {
+		s.Close()
+	}
+}
+
+func (f *fleet) runs() []mesh.Run {
+	var out []mesh.Run
+	for _, s := range f.servers {
+		out = append(out, s.Runs()...)
+	}
+	return out
+}
+
+func good(*http.Request) (int, []byte) {
+	time.Sleep(35 * time.Millisecond)
+	return http.StatusOK, []byte("in stock\n")
+}
+
+// failing returns the answers of a server that fails every second request whose path begins
+// with prefix.
+func failing(prefix string) func(*http.Request) (int, []byte) {
+	var n atomic.Int64
+	return func(r *http.Request) (int, []byte) {
+		if strings.HasPrefix(r.URL.Path, prefix) && n.Add(1)%2 == 1 {
+			time.Sleep(35 * time.Millisecond)
+			return http.StatusInternalServerError, []byte("no\n")
+		}
+		return good(r)
+	}
+}
+
+// awaitState waits until the mesh reports the state of the roll-out, and returns when.
+func awaitState(d *mesh.Deployment, state string, until time.Time) (time.Time, error) {
+	for ; time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+		if strings.Contains(string(d.Store.Get("status", "rollout/shop")), state) {
+			return time.Now(), nil
+		}
+	}
+	return time.Time{}, fmt.Errorf("the roll-out was not reported as %s", state)
+}
