--- a/review/internal/mesh/node.go
+++ b/review/internal/mesh/node.go
@@ -1,7 +1,6 @@
 package mesh
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -10,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -179,7 +179,7 @@
 			zone = "zone-a"
 		}
 		d.Machines = append(d.Machines, &Machine{Name: fmt.Sprintf("sidecar-%s-%d", zone, i+1), Zone: zone, Service: service, IP: addresses[i], record: record, folder: folder})
-		if !bytes.Contains([]byte(strings.Join(zones, ",")), []byte(zone)) {
+		if !slices.Contains(zones, zone) {
 			zones = append(zones, zone)
 		}
 	}
