--- a/review/cmd/casework/main.go
+++ b/review/cmd/casework/main.go
@@ -27,6 +27,7 @@
 // cases maps the name of a case to its play.
 var cases = map[string]func(p *play) (finding, error){
 	"withdrawn": withdrawn,
+	"forgotten": forgotten,
 	"continue":  continued,
 	"reorder":   reorder,
 	"scant":     scant,
--- a/review/cmd/casework/withdrawn.go
+++ b/review/cmd/casework/withdrawn.go
@@ -14,11 +14,16 @@
 	stableWindow = 3 * time.Second
 )
 
-// withdrawn: all nodes are killed at the same moment and start again. A server beside one of
-// them withdraws its registration first, which the restarted node acknowledges. A heartbeat
-// that the server had sent before arrives seconds late. No request may reach the server
-// later than the bound drain after the acknowledgement.
-func withdrawn(p *play) (finding, error) {
+// withdrawn: all nodes are killed at the same moment and start again. Then a server beside one
+// of them withdraws its registration, which the restarted node acknowledges. A heartbeat that
+// the server had sent before arrives seconds late. No request may reach the server later than
+// the bound drain after the acknowledgement.
+func withdrawn(p *play) (finding, error) { return withdrawAndKill(p, false) }
+
+// forgotten is like withdrawn, but the server withdraws its registration before the kill.
+func forgotten(p *play) (finding, error) { return withdrawAndKill(p, true) }
+
+func withdrawAndKill(p *play, before bool) (finding, error) {
 	d, err := mesh.NewDeployment(p.record, "shop", "shop", "front")
 	if err != nil {
 		return nil, err
@@ -48,7 +53,20 @@
 	late := leaving.Beat() // it is sent now and arrives seconds late
 	p.record.Printf("server i-leaving: sends %s, which is delayed", late)
 	made := time.Now()
-	restarted := time.Time{}
+	restarted, acknowledged := time.Time{}, time.Time{}
+	withdraw := func() error {
+		if !leaving.Withdraw() {
+			return fmt.Errorf("the withdrawal was not acknowledged")
+		}
+		acknowledged = time.Now()
+		p.record.Printf("the withdrawal of i-leaving is acknowledged")
+		return nil
+	}
+	if before {
+		if err := withdraw(); err != nil {
+			return nil, err
+		}
+	}
 	if p.trouble {
 		time.Sleep(200 * time.Millisecond)
 		for _, m := range d.Machines {
@@ -63,11 +81,11 @@
 			return nil, err
 		}
 	}
-	if !leaving.Withdraw() {
-		return nil, fmt.Errorf("the withdrawal was not acknowledged")
+	if !before {
+		if err := withdraw(); err != nil {
+			return nil, err
+		}
 	}
-	acknowledged := time.Now()
-	p.record.Printf("the withdrawal of i-leaving is acknowledged")
 	time.Sleep(time.Until(made.Add(2500 * time.Millisecond)))
 	leaving.Send(late)
 	// The server serves for drain and some seconds more.
