--- a/review/cmd/casework/reorder.go
+++ b/review/cmd/casework/reorder.go
@@ -2,13 +2,14 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
 	"time"
 
 	"corianderwood.example/review/internal/mesh"
 )
 
-// reorder: a version fails on one route and the mesh reports rolled_back. Its servers go on
+// reorder: a version fails orders, one route of two, and the mesh reports rolled_back. Its servers go on
 // to serve for some seconds, and meanwhile the operator orders a further version.
 func reorder(p *play) (finding, error) {
 	d, err := mesh.NewDeployment(p.record, "shop", "shop", "shop", "shop", "shop")
@@ -18,7 +19,7 @@
 	p.onEnd(d.Close)
 	d.Store.Put("op", "config", mesh.Configuration(7,
 		mesh.Route{Host: "shop.example", Prefix: "/stock/", Kind: "safe", Service: "shop", TimeoutMS: 1200, Attempts: 1},
-		mesh.Route{Host: "shop.example", Prefix: "/price/", Kind: "safe", Service: "shop", TimeoutMS: 1200, Attempts: 1}))
+		mesh.Route{Host: "shop.example", Prefix: orderPath, Kind: "unsafe", Service: "shop", TimeoutMS: 1200, Attempts: 1}))
 	if err := d.StartNodes(); err != nil {
 		return nil, err
 	}
@@ -31,7 +32,7 @@
 	}
 	var stops []func()
 	for _, m := range d.Machines {
-		stops = append(stops, traffic(p, m, "shop.example", "/stock/1", 18*time.Millisecond), traffic(p, m, "shop.example", "/price/1", 55*time.Millisecond))
+		stops = append(stops, traffic(p, m, "shop.example", "/stock/1", 18*time.Millisecond), traffic(p, m, "shop.example", orderPath+"1", 55*time.Millisecond))
 	}
 	time.Sleep(4 * time.Second)
 
@@ -40,7 +41,7 @@
 	d.Store.Put("op", "rollout/shop", []byte(`{"service":"shop","target":"v2","duration":"8s"}`))
 	var rejected []*mesh.Server
 	for i := 2; i < 4; i++ {
-		s, err := f.start(d.Machines[i], fmt.Sprintf("i-v2-%d", i-1), "v2", failing("/price/"))
+		s, err := f.start(d.Machines[i], fmt.Sprintf("i-v2-%d", i-1), "v2", failing(orderPath))
 		if err != nil {
 			return nil, err
 		}
@@ -52,7 +53,7 @@
 	}
 	p.record.Printf("operator: sees that v2 is rolled back %.1f s after the order", rolledBack.Sub(ordered).Seconds())
 	if p.trouble {
-		time.Sleep(500 * time.Millisecond)
+		time.Sleep(250 * time.Millisecond)
 		d.Store.Put("op", "rollout/shop", []byte(`{"service":"shop","target":"v3","duration":"12s"}`))
 		if _, err := f.start(d.Machines[4], "i-v3-1", "v3", good); err != nil {
 			return nil, err
@@ -73,7 +74,7 @@
 		stop()
 	}
 
-	all, exposed, afterOutcome := 0, 0, 0
+	all, exposed, afterOutcome, failed := 0, 0, 0, 0
 	for _, run := range f.runs() {
 		if run.At.Before(ordered) || run.At.After(deadline) {
 			continue
@@ -83,13 +84,16 @@
 			exposed++
 			if run.At.After(rolledBack.Add(time.Second)) {
 				afterOutcome++
+				if run.Status >= http.StatusInternalServerError {
+					failed++
+				}
 			}
 		}
 	}
 	allowed := exposureShare*float64(all) + exposureSlack
-	p.record.Printf("%d requests reached the service between the order and its deadline, %d of them v2, %d of those later than 1 s after rolled_back; allowed are %.0f", all, exposed, afterOutcome, allowed)
+	p.record.Printf("%d requests reached the service between the order and its deadline, %d of them v2, %d of those later than 1 s after rolled_back; %d of these were orders that failed; allowed are %.0f", all, exposed, afterOutcome, failed, allowed)
 	if float64(exposed) <= allowed {
 		return nil, nil
 	}
-	return finding{fmt.Sprintf("EXPOSURE: the bad version v2 got %d of %d requests between its order and its deadline, %d of them later than 1 s after it was reported as rolled back; allowed are %.0f", exposed, all, afterOutcome, allowed)}, nil
+	return finding{fmt.Sprintf("EXPOSURE: the bad version v2 got %d of %d requests between its order and its deadline, %d of them later than 1 s after it was reported as rolled back; allowed are %.0f; %d of those late ones were orders, which failed", exposed, all, afterOutcome, allowed, failed)}, nil
 }
--- a/review/cmd/casework/rollouts.go
+++ b/review/cmd/casework/rollouts.go
@@ -50,7 +50,7 @@
 }
 
 func good(*http.Request) (int, []byte) {
-	time.Sleep(35 * time.Millisecond)
+	time.Sleep(38 * time.Millisecond)
 	return http.StatusOK, []byte("in stock\n")
 }
 
@@ -60,7 +60,7 @@
 	var n atomic.Int64
 	return func(r *http.Request) (int, []byte) {
 		if strings.HasPrefix(r.URL.Path, prefix) && n.Add(1)%2 == 1 {
-			time.Sleep(35 * time.Millisecond)
+			time.Sleep(38 * time.Millisecond)
 			return http.StatusInternalServerError, []byte("no\n")
 		}
 		return good(r)
--- a/review/cmd/casework/scant.go
+++ b/review/cmd/casework/scant.go
@@ -9,7 +9,7 @@
 	"corianderwood.example/review/internal/mesh"
 )
 
-// scant: a service with few requests gets a version that fails every second one. The old
+// scant: a service with few orders gets a version that fails every second one. The old
 // servers stop once the mesh reports the roll-out as completed.
 func scant(p *play) (finding, error) {
 	d, err := mesh.NewDeployment(p.record, "shop", "shop", "front")
@@ -17,7 +17,7 @@
 		return nil, err
 	}
 	p.onEnd(d.Close)
-	d.Store.Put("op", "config", mesh.Configuration(7, mesh.Route{Host: "shop.example", Prefix: "/stock/", Kind: "safe", Service: "shop", TimeoutMS: 1200, Attempts: 1}))
+	d.Store.Put("op", "config", mesh.Configuration(7, mesh.Route{Host: "shop.example", Prefix: orderPath, Kind: "unsafe", Service: "shop", TimeoutMS: 1200, Attempts: 1}))
 	if err := d.StartNodes(); err != nil {
 		return nil, err
 	}
@@ -27,7 +27,7 @@
 	if err != nil {
 		return nil, err
 	}
-	defer traffic(p, d.Machines[2], "shop.example", "/stock/1", 500*time.Millisecond)()
+	defer traffic(p, d.Machines[2], "shop.example", orderPath+"1", 500*time.Millisecond)()
 	time.Sleep(4 * time.Second)
 
 	ordered := time.Now()
@@ -67,5 +67,5 @@
 	if late == 0 {
 		return nil, nil
 	}
-	return finding{fmt.Sprintf("EXPOSURE: the bad version v2 was reported as completed, gave %d bad answers, and got %d requests later than %s after the fiftieth", bad, late, rollbackBound)}, nil
+	return finding{fmt.Sprintf("EXPOSURE: the bad version v2 was reported as completed, failed %d orders, and got %d further ones later than %s after the fiftieth failure", bad, late, rollbackBound)}, nil
 }
--- a/review/cmd/casework/withdrawn.go
+++ b/review/cmd/casework/withdrawn.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"time"
 
 	"corianderwood.example/review/internal/mesh"
@@ -107,10 +108,17 @@
 	return finding{fmt.Sprintf("DRAIN: %d requests ran at i-leaving later than %s after the acknowledgement, the last after %.1f s", after, drain, last.Seconds())}, nil
 }
 
-// traffic sends safe requests from the machine at a fixed interval until the returned
-// function is called, which waits for their end.
+// orderPath begins the paths of orders, which are sent with POST and may run once at most.
+const orderPath = "/order/"
+
+// traffic sends requests from the machine at a fixed interval until the returned function is
+// called, which waits for their end.
 func traffic(p *play, m *mesh.Machine, host, path string, interval time.Duration) func() {
 	client := mesh.NewClient(p.record, m)
+	method, body := http.MethodGet, []byte(nil)
+	if strings.HasPrefix(path, orderPath) {
+		method, body = http.MethodPost, []byte("gauge=16&pieces=2\n")
+	}
 	stop, ended := make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(ended)
@@ -121,7 +129,7 @@
 			case <-stop:
 				return
 			case <-tick.C:
-				go client.Do(http.MethodGet, host, path, nil, 2500*time.Millisecond)
+				go client.Do(method, host, path, body, 2500*time.Millisecond)
 			}
 		}
 	}()
