Log and count repeated request ids, skipped responses and responses without an id

A connection keeps hashes of the ids that it has carried, a node the last 2,048 ids that it received; no decision uses them yet.

The rate-limited log of pkg/dispatch moves to pkg/event, so that pkg/backend uses it as well. TestRecentIDs is new; tests of pkg/event, dispatch, backend, admission, sidecar and platform pass.

--- a/pkg/admission/panic_test.go
+++ b/pkg/admission/panic_test.go
@@ -36,7 +36,7 @@
 	c := New(Options{
 		Tracker: tracker, Ledger: ledger.New(ledger.Options{}), Observer: silentObserver{}, Running: NewInFlight(), Uplink: uplink.New(0),
 		Client: backend.NewClient(backend.Options{
-			Address: server.Listener.Addr().String(), Headers: headers, Bodies: boundedio.NewBudget(1 << 20),
+			Address: server.Listener.Addr().String(), Headers: headers, Bodies: boundedio.NewBudget(1 << 20), Metrics: backend.NewMetrics(nil),
 			Notice: func(http.Header) (call.ServerNotice, error) { panic("test") },
 		}),
 	})
--- a/pkg/backend/client.go
+++ b/pkg/backend/client.go
@@ -26,7 +26,8 @@
 	// Notice decodes server notices.
 	Notice DecodeNotice
 	// Bodies limits the memory of the response bodies that are received at the same time.
-	Bodies *boundedio.Budget
+	Bodies  *boundedio.Budget
+	Metrics *Metrics
 }
 
 // Client sends requests to one server address. It is safe for concurrent use; mu
@@ -85,6 +86,9 @@
 			return c.dial(ctx)
 		}
 		if conn.usable(now, maxIdle) {
+			if conn.ids.contains(req.ID) {
+				c.opts.Metrics.idRepeated(req.ID, conn)
+			}
 			return conn, nil
 		}
 		_ = conn.Close()
@@ -117,6 +121,7 @@
 	c.mu.Lock()
 	c.opened++
 	c.mu.Unlock()
+	c.opts.Metrics.opened.Inc()
 	input := boundedio.NewLimitedReader(inner)
 	return &connection{Conn: inner, input: input, reader: bufio.NewReaderSize(input, readBuffer), keepAlive: defaultKeepAlive}, nil
 }
--- a/pkg/backend/client_test.go
+++ b/pkg/backend/client_test.go
@@ -195,5 +195,5 @@
 
 // newClient returns a client whose responses together may hold the given number of bytes.
 func newClient(address string, bodies int64) *Client {
-	return NewClient(Options{Address: address, Headers: headers, Notice: noNotice, Bodies: boundedio.NewBudget(bodies)})
+	return NewClient(Options{Address: address, Headers: headers, Notice: noNotice, Bodies: boundedio.NewBudget(bodies), Metrics: NewMetrics(nil)})
 }
--- a/pkg/backend/connection.go
+++ b/pkg/backend/connection.go
@@ -20,6 +20,8 @@
 	// input limits what reader reads while it parses a head.
 	input  *boundedio.LimitedReader
 	reader *bufio.Reader
+	// ids holds the ids of the requests that were sent.
+	ids idHistory
 	// idleSince is when the last exchange ended.
 	idleSince time.Time
 	// keepAlive is the time after which the server closes the connection if it is idle.
@@ -39,6 +41,19 @@
 	return c.isOpenAndIdle()
 }
 
+// skipReason returns why a response with the given id does not belong to the request in
+// progress, which has another one.
+func (c *connection) skipReason(id string) skipReason {
+	switch {
+	case id == "":
+		return skipNoID
+	case c.ids.contains(id):
+		return skipCopy
+	default:
+		return skipForeign
+	}
+}
+
 // isOpenAndIdle reports whether the connection is open and has nothing to read, by a
 // non-blocking peek at the socket.
 func (c *connection) isOpenAndIdle() bool {
--- a/pkg/backend/exchange.go
+++ b/pkg/backend/exchange.go
@@ -17,6 +17,7 @@
 // exchange sends the request on conn and reads its response.
 func (c *Client) exchange(ctx context.Context, conn *connection, req *call.Request, instance string) call.Response {
 	now := time.Now()
+	conn.ids.add(req.ID)
 	_ = conn.SetDeadline(req.Deadline.Add(responseMargin))
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	out := c.encode(req, instance, now)
@@ -45,6 +46,9 @@
 	// The next response on the connection could be a copy of this one. Only its id tells the
 	// copy from the response to the next request.
 	identified := res.Header.Get(c.opts.Headers.RequestID) == req.ID
+	if !identified {
+		c.opts.Metrics.responseWithoutID(req.ID, res.StatusCode, conn)
+	}
 	if !stop() || res.Close || !identified || conn.reader.Buffered() > 0 {
 		_ = conn.Close()
 		return outcome
@@ -95,6 +99,7 @@
 		}
 		conn.input.Limit(0)
 		if res.StatusCode/100 == 1 {
+			c.opts.Metrics.skip(skipInterim, req.ID, "", res.StatusCode, conn)
 			continue
 		}
 		body, err := c.readBody(res)
@@ -103,6 +108,7 @@
 		}
 		id := res.Header.Get(c.opts.Headers.RequestID)
 		if id != req.ID && (id != "" || res.StatusCode/100 == 2) {
+			c.opts.Metrics.skip(conn.skipReason(id), req.ID, id, res.StatusCode, conn)
 			if res.Close {
 				return nil, errMismatch
 			}
--- a/pkg/backend/fuzz_test.go
+++ b/pkg/backend/fuzz_test.go
@@ -36,7 +36,7 @@
 		f.Add([]byte(seed))
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
-		c := NewClient(Options{Headers: headers, Notice: noNotice, Bodies: boundedio.NewBudget(1 << 20)})
+		c := NewClient(Options{Headers: headers, Notice: noNotice, Bodies: boundedio.NewBudget(1 << 20), Metrics: NewMetrics(nil)})
 		input := boundedio.NewLimitedReader(outputConn{output: bytes.NewReader(data)})
 		conn := &connection{Conn: outputConn{}, input: input, reader: bufio.NewReaderSize(input, readBuffer)}
 		res := c.exchange(context.Background(), conn, request("r", routing.Unsafe), "i")
--- /dev/null
+++ b/pkg/backend/monitoring.go
@@ -0,0 +1,73 @@
+package backend
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"corianderwood.example/corianderwood/pkg/event"
+)
+
+// skipReason is why a response of the server is not the one to the request in progress.
+type skipReason string
+
+const (
+	// skipInterim is an interim response (1xx).
+	skipInterim skipReason = "interim"
+	// skipCopy is a response with the id of an earlier request on the connection.
+	skipCopy skipReason = "earlier-request"
+	// skipForeign is a response with an id that the connection has not carried.
+	skipForeign skipReason = "foreign-id"
+	// skipNoID is a response without an id.
+	skipNoID skipReason = "no-id"
+)
+
+// Metrics holds the metrics of a Client.
+type Metrics struct {
+	opened    prometheus.Counter
+	repeated  prometheus.Counter
+	skipped   *prometheus.CounterVec
+	withoutID prometheus.Counter
+	log       *event.LimitedLog
+}
+
+// NewMetrics returns the metrics and registers them with reg unless reg is nil.
+func NewMetrics(reg prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		opened: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "corianderwood_server_connections_opened_total", Help: "Connections opened to the local server."}),
+		repeated: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "corianderwood_server_ids_repeated_total", Help: "Requests whose id an idle connection to the local server has carried before."}),
+		skipped: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "corianderwood_server_responses_skipped_total", Help: "Responses of the local server that were not those to the request in progress, by reason."}, []string{"reason"}),
+		withoutID: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "corianderwood_server_responses_without_id_total", Help: "Responses of the local server without a request id that were taken for the one to the request in progress."}),
+		log: event.NewLimitedLog(logRate, logRate),
+	}
+	for _, why := range []skipReason{skipInterim, skipCopy, skipForeign, skipNoID} {
+		m.skipped.WithLabelValues(string(why))
+	}
+	if reg != nil {
+		reg.MustRegister(m.opened, m.repeated, m.skipped, m.withoutID)
+	}
+	return m
+}
+
+// idRepeated records a request whose id the connection has carried before.
+func (m *Metrics) idRepeated(id string, conn *connection) {
+	m.repeated.Inc()
+	m.log.Write(event.UpstreamIDRepeated, "request", id, "carried", conn.ids.len())
+}
+
+// skip records a response that is not the one to the request with the id.
+func (m *Metrics) skip(why skipReason, id, received string, status int, conn *connection) {
+	m.skipped.WithLabelValues(string(why)).Inc()
+	if why == skipInterim {
+		return
+	}
+	m.log.Write(event.UpstreamResponseSkipped, "request", id, "received", received, "status", status, "reason", string(why), "carried", conn.ids.len())
+}
+
+// responseWithoutID records a response without an id that is taken for the one to the request.
+func (m *Metrics) responseWithoutID(id string, status int, conn *connection) {
+	m.withoutID.Inc()
+	m.log.Write(event.UpstreamResponseWithoutID, "request", id, "status", status, "carried", conn.ids.len())
+}
--- a/pkg/backend/tunables.go
+++ b/pkg/backend/tunables.go
@@ -33,4 +33,6 @@
 	// itself ends the request at its deadline.
 	responseMargin = 30 * time.Millisecond
 	readBuffer     = 8 << 10
+	// logRate limits the log lines about single responses, in lines per second.
+	logRate = 5
 )
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -47,7 +47,8 @@
 	splitter *routing.Splitter
 	budgets  *budgets
 	returns  *returnTimes
-	log      *decisionLog
+	recent   *recentIDs
+	log      *event.LimitedLog
 	calls    atomic.Uint64
 }
 
@@ -55,14 +56,15 @@
 func New(opts Options) *Dispatcher {
 	return &Dispatcher{
 		opts: opts, head: newHeadEncoder(opts.Headers, opts.Service), splitter: routing.NewSplitter(),
-		budgets: newBudgets(opts.Retries), returns: newReturnTimes(), log: newDecisionLog(),
+		budgets: newBudgets(opts.Retries), returns: newReturnTimes(), recent: newRecentIDs(),
+		log: event.NewLimitedLog(decisionLogRate, decisionLogBurst),
 	}
 }
 
 // Malformed records a request that could not be parsed.
 func (d *Dispatcher) Malformed(remote string, err error) {
 	d.opts.Metrics.refused(reason.BadRequest)
-	d.log.write(event.RequestMalformed, "remote", remote, "err", err)
+	d.log.Write(event.RequestMalformed, "remote", remote, "err", err)
 }
 
 // Serve handles one request and returns its response.
@@ -81,9 +83,13 @@
 	}
 	route, ok := table.Match(r.Host, r.Path)
 	if !ok {
-		d.log.write(event.RequestNoRoute, "request", id, "host", r.Host, "path", r.Path, "configuration", table.Version)
+		d.log.Write(event.RequestNoRoute, "request", id, "host", r.Host, "path", r.Path, "configuration", table.Version)
 		return d.reject(id, http.StatusNotFound, reason.NoRoute)
 	}
+	if age, repeated := d.recent.receive(r.Received, id); repeated {
+		d.opts.Metrics.repeatedIDs.Inc()
+		d.log.Write(event.RequestIDRepeated, "request", id, "route", route.Name, "age", age)
+	}
 	x := d.newExchange(table, route, r, id)
 	if d.opts.Stopping() && !x.req.Nested {
 		return d.refuse(id, route.Name, reason.Draining, stoppingRetryAfter)
@@ -137,7 +143,7 @@
 	head = append(head, "Retry-After: "...)
 	head = strconv.AppendFloat(head, after.Seconds(), 'f', 3, 64)
 	head = append(head, "\r\n"...)
-	d.log.write(event.RequestRefused, "request", id, "route", route, "reason", why, "retryAfter", after)
+	d.log.Write(event.RequestRefused, "request", id, "route", route, "reason", why, "retryAfter", after)
 	return ingress.Response{Status: http.StatusServiceUnavailable, Head: head}
 }
 
--- a/pkg/dispatch/exchange.go
+++ b/pkg/dispatch/exchange.go
@@ -162,6 +162,6 @@
 		status, why = http.StatusGatewayTimeout, reason.DeadlineExceeded
 	}
 	d.opts.Metrics.refused(why)
-	d.log.write(event.RequestFailed, "request", x.req.ID, "route", x.route.Name, "status", status, "reason", why, "last", x.lastRefusal, "tried", x.tried)
+	d.log.Write(event.RequestFailed, "request", x.req.ID, "route", x.route.Name, "status", status, "reason", why, "last", x.lastRefusal, "tried", x.tried)
 	return ingress.Response{Status: status, Head: d.localHeaders(x.req.ID)}
 }
--- a/pkg/dispatch/monitoring.go
+++ b/pkg/dispatch/monitoring.go
@@ -17,6 +17,8 @@
 	retries   *prometheus.CounterVec
 	responses *prometheus.CounterVec
 	latency   *prometheus.HistogramVec
+	// repeatedIDs counts requests with the id of an earlier one.
+	repeatedIDs prometheus.Counter
 }
 
 // NewMetrics returns the metrics and registers them with reg unless reg is nil.
@@ -28,12 +30,14 @@
 			Name: "corianderwood_request_repeats_total", Help: "Retries of requests at another server, by reason."}, []string{"reason"}),
 		responses: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "corianderwood_request_answers_total", Help: "Responses to requests by kind and status."}, []string{"kind", "status"}),
+		repeatedIDs: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "corianderwood_request_ids_repeated_total", Help: "Requests of callers with the id of one that was received shortly before."}),
 		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "corianderwood_request_seconds", Help: "Time from receiving a request to its response.",
 			Buckets: prometheus.ExponentialBuckets(0.01, 2, 10)}, []string{"kind"}),
 	}
 	if reg != nil {
-		reg.MustRegister(m.refusals, m.retries, m.responses, m.latency)
+		reg.MustRegister(m.refusals, m.retries, m.responses, m.latency, m.repeatedIDs)
 	}
 	return m
 }
--- /dev/null
+++ b/pkg/dispatch/recentids_test.go
@@ -0,0 +1,32 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// Guards against ids that count as repeated though they came once, and against a set that
+// grows without bound.
+func TestRecentIDs(t *testing.T) {
+	r, start := newRecentIDs(), time.Now()
+	for i := range 3 * maxRecentIDs {
+		now := start.Add(time.Duration(i) * time.Millisecond)
+		id := fmt.Sprint("id-", i)
+		if _, repeated := r.receive(now, id); repeated {
+			t.Fatalf("%s counts as repeated", id)
+		}
+		if i%100 != 0 {
+			continue
+		}
+		if age, repeated := r.receive(now.Add(time.Second), id); !repeated || age != time.Second {
+			t.Fatalf("%s: repeated %t, age %v", id, repeated, age)
+		}
+	}
+	if len(r.first) != maxRecentIDs || len(r.order) != maxRecentIDs {
+		t.Errorf("%d ids and %d places, want %d", len(r.first), len(r.order), maxRecentIDs)
+	}
+	if _, repeated := r.receive(start, "id-0"); repeated {
+		t.Error("an id is kept for longer than the bound says")
+	}
+}
--- a/pkg/dispatch/tunables.go
+++ b/pkg/dispatch/tunables.go
@@ -37,6 +37,9 @@
 	// retryAfterJitter is the relative random addition to retry times, which spreads
 	// the retries of refused clients.
 	retryAfterJitter = 0.3
+	// maxRecentIDs is the number of request ids that are kept to notice repeated ones, some
+	// 100 kB.
+	maxRecentIDs = 2048
 	// decisionLogRate and decisionLogBurst limit the log lines about single requests,
 	// in lines per second and in lines at once.
 	decisionLogRate  = 20
--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -4,73 +4,77 @@
 // 2 configuration, 3 membership, links, feeds and rejected heartbeats, 4 upstreams and
 // requests, 5 moves and rollouts, 6 platform, 7 operators and keys.
 var (
-	NodeStarting             = Event{101, Info, "node is starting"}
-	NodeReady                = Event{102, Info, "node is ready"}
-	NodeNotReady             = Event{103, Warning, "node is not ready"}
-	NodeStopping             = Event{104, Info, "node is stopping; running calls finish first"}
-	NodeStopped              = Event{105, Info, "node has stopped"}
-	ComponentFailed          = Event{106, Error, "a part of the node failed; the node stops"}
-	SettingsReloaded         = Event{107, Info, "settings were read again"}
-	SettingsRejected         = Event{108, Error, "settings could not be read again; the earlier ones stay in use"}
-	LogLinesDropped          = Event{109, Warning, "log lines were dropped because the output did not take them"}
-	AcceptFailed             = Event{110, Warning, "connection could not be accepted; accepting is retried"}
-	PanicContained           = Event{111, Error, "internal error ended one request, connection or row"}
-	SettingsUnknown          = Event{112, Warning, "settings have fields that this version does not know; they are ignored"}
-	RevisionInForce          = Event{201, Info, "configuration revision is in force"}
-	RevisionRejected         = Event{202, Error, "configuration revision failed the node's own check and is not applied"}
-	EditAccepted             = Event{203, Info, "edit was accepted"}
-	EditRefused              = Event{204, Info, "edit was refused"}
-	EditUnknown              = Event{205, Warning, "outcome of an edit is unknown; read the operation record back"}
-	MinRevisionKnown         = Event{206, Info, "lowest revision that this instance may serve is known"}
-	MinRevisionUnknown       = Event{207, Warning, "lowest revision that this instance may serve is not known yet"}
-	MinRevisionNotReplicated = Event{208, Warning, "revision is in force with fewer replicas of the minimum revision than wanted"}
-	MeshJoined               = Event{301, Info, "node has joined the mesh"}
-	MeshJoinFailed           = Event{302, Warning, "no peer answered the request to join; the node tries again"}
-	UpstreamAnnounced        = Event{401, Info, "upstream is announced"}
-	UpstreamFailing          = Event{413, Warning, "upstream failure rate rose above the limit or returned to normal"}
-	UpstreamLimited          = Event{414, Warning, "upstream names a limit of requests, or names it no longer"}
-	UpstreamLeaving          = Event{415, Info, "upstream says in a response that it leaves"}
-	UpstreamNoticeMalformed  = Event{416, Warning, "notice of the upstream in a response can't be read and is ignored"}
-	UpstreamRestored         = Event{412, Info, "upstream state is restored from a peer until the next heartbeat"}
-	UpstreamDeparted         = Event{417, Info, "upstreams beside this node have left, as a peer or the store says; late heartbeats of them are ignored"}
-	HeartbeatUnconfirmed     = Event{418, Info, "upstream is used after its next heartbeat: the store was away when the node started"}
-	UpstreamDraining         = Event{402, Info, "upstream is draining"}
-	UpstreamLost             = Event{403, Warning, "upstream stopped renewing its announcement"}
-	PeerUp                   = Event{303, Info, "link to a peer is up"}
-	PeerDown                 = Event{304, Warning, "link to a peer is down"}
-	PeerSilent               = Event{312, Warning, "peer does not respond to a ping; all links are probed"}
-	PeerFrameMalformed       = Event{305, Warning, "frame of a peer can't be read and is ignored"}
-	PeerRowsApplied          = Event{306, Info, "rows of the store were taken from a peer"}
-	PeerDiscovered           = Event{309, Info, "node without a row in the mesh table opened a link; this node opens one in return"}
-	FeedSubscribed           = Event{310, Info, "node follows the feed of a table"}
-	FeedUnsubscribed         = Event{311, Info, "node no longer follows the feed of a table"}
-	HeartbeatMalformed       = Event{307, Warning, "heartbeat can't be read and is ignored"}
-	HeartbeatOutdated        = Event{308, Info, "heartbeat of an earlier incarnation or state is ignored"}
-	HTTPServer               = Event{404, Warning, "HTTP server reports a problem with a connection"}
-	RequestMalformed         = Event{405, Warning, "request can't be read"}
-	RequestNoRoute           = Event{406, Info, "request matches no route"}
-	RequestAttempt           = Event{407, Info, "request was offered to a server"}
-	RequestRefused           = Event{408, Info, "request was refused and has not run"}
-	RequestFailed            = Event{409, Warning, "request ended without a server's response"}
-	UpstreamUnreachable      = Event{410, Warning, "upstream refuses connections; it counts as lost until its next heartbeat"}
-	MoveStage                = Event{501, Info, "move has reached a stage"}
-	MoveRolledBack           = Event{502, Warning, "move is rolled back"}
-	MoveOutcome              = Event{503, Info, "outcome of a move is recorded"}
-	MoveOutcomePending       = Event{504, Warning, "outcome of a move is not recorded yet; the platform does not answer"}
-	MoveOrdered              = Event{505, Info, "roll-out of a version was ordered"}
-	MoveOrderMalformed       = Event{506, Warning, "order of a roll-out can't be read and is ignored"}
-	VersionRejected          = Event{507, Warning, "version was judged bad by this node and gets no more requests"}
-	PlatformDown             = Event{601, Warning, "platform does not answer"}
-	PlatformUp               = Event{602, Info, "platform answers again"}
-	MemberRowWriteFailed     = Event{603, Warning, "address hint for joining nodes could not be written"}
-	StoreReadRepeated        = Event{605, Warning, "response of the store is overdue; the read is repeated on a new connection"}
-	StoreHistoryTruncated    = Event{604, Info, "store has dropped its history; the table is read again"}
-	DepartureWriteFailed     = Event{606, Warning, "departure of a local upstream could not be written to the store; the write is repeated"}
-	DepartureInPeersOnly     = Event{607, Warning, "departure of a local upstream is not in the store yet; other nodes were told"}
-	DepartureRowMalformed    = Event{608, Warning, "row with the departures of local upstreams can't be read and is written anew"}
-	KeysReloaded             = Event{701, Info, "certificate and key were reloaded"}
-	KeysReloadFailed         = Event{702, Error, "certificate or key could not be reloaded; the earlier ones stay in use"}
-	OperatorRefused          = Event{703, Warning, "operator request was refused"}
+	NodeStarting              = Event{101, Info, "node is starting"}
+	NodeReady                 = Event{102, Info, "node is ready"}
+	NodeNotReady              = Event{103, Warning, "node is not ready"}
+	NodeStopping              = Event{104, Info, "node is stopping; running calls finish first"}
+	NodeStopped               = Event{105, Info, "node has stopped"}
+	ComponentFailed           = Event{106, Error, "a part of the node failed; the node stops"}
+	SettingsReloaded          = Event{107, Info, "settings were read again"}
+	SettingsRejected          = Event{108, Error, "settings could not be read again; the earlier ones stay in use"}
+	LogLinesDropped           = Event{109, Warning, "log lines were dropped because the output did not take them"}
+	AcceptFailed              = Event{110, Warning, "connection could not be accepted; accepting is retried"}
+	PanicContained            = Event{111, Error, "internal error ended one request, connection or row"}
+	SettingsUnknown           = Event{112, Warning, "settings have fields that this version does not know; they are ignored"}
+	RevisionInForce           = Event{201, Info, "configuration revision is in force"}
+	RevisionRejected          = Event{202, Error, "configuration revision failed the node's own check and is not applied"}
+	EditAccepted              = Event{203, Info, "edit was accepted"}
+	EditRefused               = Event{204, Info, "edit was refused"}
+	EditUnknown               = Event{205, Warning, "outcome of an edit is unknown; read the operation record back"}
+	MinRevisionKnown          = Event{206, Info, "lowest revision that this instance may serve is known"}
+	MinRevisionUnknown        = Event{207, Warning, "lowest revision that this instance may serve is not known yet"}
+	MinRevisionNotReplicated  = Event{208, Warning, "revision is in force with fewer replicas of the minimum revision than wanted"}
+	MeshJoined                = Event{301, Info, "node has joined the mesh"}
+	MeshJoinFailed            = Event{302, Warning, "no peer answered the request to join; the node tries again"}
+	UpstreamAnnounced         = Event{401, Info, "upstream is announced"}
+	UpstreamFailing           = Event{413, Warning, "upstream failure rate rose above the limit or returned to normal"}
+	UpstreamLimited           = Event{414, Warning, "upstream names a limit of requests, or names it no longer"}
+	UpstreamLeaving           = Event{415, Info, "upstream says in a response that it leaves"}
+	UpstreamNoticeMalformed   = Event{416, Warning, "notice of the upstream in a response can't be read and is ignored"}
+	UpstreamRestored          = Event{412, Info, "upstream state is restored from a peer until the next heartbeat"}
+	UpstreamDeparted          = Event{417, Info, "upstreams beside this node have left, as a peer or the store says; late heartbeats of them are ignored"}
+	HeartbeatUnconfirmed      = Event{418, Info, "upstream is used after its next heartbeat: the store was away when the node started"}
+	UpstreamIDRepeated        = Event{420, Info, "idle connection to the upstream has carried the id of this request before"}
+	UpstreamResponseSkipped   = Event{421, Warning, "upstream sent a response that is not the one to the request in progress; it is skipped"}
+	UpstreamResponseWithoutID = Event{422, Warning, "response of the upstream has no request id; the connection is closed after it"}
+	UpstreamDraining          = Event{402, Info, "upstream is draining"}
+	UpstreamLost              = Event{403, Warning, "upstream stopped renewing its announcement"}
+	PeerUp                    = Event{303, Info, "link to a peer is up"}
+	PeerDown                  = Event{304, Warning, "link to a peer is down"}
+	PeerSilent                = Event{312, Warning, "peer does not respond to a ping; all links are probed"}
+	PeerFrameMalformed        = Event{305, Warning, "frame of a peer can't be read and is ignored"}
+	PeerRowsApplied           = Event{306, Info, "rows of the store were taken from a peer"}
+	PeerDiscovered            = Event{309, Info, "node without a row in the mesh table opened a link; this node opens one in return"}
+	FeedSubscribed            = Event{310, Info, "node follows the feed of a table"}
+	FeedUnsubscribed          = Event{311, Info, "node no longer follows the feed of a table"}
+	HeartbeatMalformed        = Event{307, Warning, "heartbeat can't be read and is ignored"}
+	HeartbeatOutdated         = Event{308, Info, "heartbeat of an earlier incarnation or state is ignored"}
+	HTTPServer                = Event{404, Warning, "HTTP server reports a problem with a connection"}
+	RequestMalformed          = Event{405, Warning, "request can't be read"}
+	RequestNoRoute            = Event{406, Info, "request matches no route"}
+	RequestAttempt            = Event{407, Info, "request was offered to a server"}
+	RequestRefused            = Event{408, Info, "request was refused and has not run"}
+	RequestIDRepeated         = Event{419, Info, "caller sent the id of an earlier request again"}
+	RequestFailed             = Event{409, Warning, "request ended without a server's response"}
+	UpstreamUnreachable       = Event{410, Warning, "upstream refuses connections; it counts as lost until its next heartbeat"}
+	MoveStage                 = Event{501, Info, "move has reached a stage"}
+	MoveRolledBack            = Event{502, Warning, "move is rolled back"}
+	MoveOutcome               = Event{503, Info, "outcome of a move is recorded"}
+	MoveOutcomePending        = Event{504, Warning, "outcome of a move is not recorded yet; the platform does not answer"}
+	MoveOrdered               = Event{505, Info, "roll-out of a version was ordered"}
+	MoveOrderMalformed        = Event{506, Warning, "order of a roll-out can't be read and is ignored"}
+	VersionRejected           = Event{507, Warning, "version was judged bad by this node and gets no more requests"}
+	PlatformDown              = Event{601, Warning, "platform does not answer"}
+	PlatformUp                = Event{602, Info, "platform answers again"}
+	MemberRowWriteFailed      = Event{603, Warning, "address hint for joining nodes could not be written"}
+	StoreReadRepeated         = Event{605, Warning, "response of the store is overdue; the read is repeated on a new connection"}
+	StoreHistoryTruncated     = Event{604, Info, "store has dropped its history; the table is read again"}
+	DepartureWriteFailed      = Event{606, Warning, "departure of a local upstream could not be written to the store; the write is repeated"}
+	DepartureInPeersOnly      = Event{607, Warning, "departure of a local upstream is not in the store yet; other nodes were told"}
+	DepartureRowMalformed     = Event{608, Warning, "row with the departures of local upstreams can't be read and is written anew"}
+	KeysReloaded              = Event{701, Info, "certificate and key were reloaded"}
+	KeysReloadFailed          = Event{702, Error, "certificate or key could not be reloaded; the earlier ones stay in use"}
+	OperatorRefused           = Event{703, Warning, "operator request was refused"}
 )
 
 // Catalogue returns all events.
@@ -80,10 +84,10 @@
 		RevisionInForce, RevisionRejected, EditAccepted, EditRefused, EditUnknown,
 		MinRevisionKnown, MinRevisionUnknown, MinRevisionNotReplicated,
 		MeshJoined, MeshJoinFailed,
-		UpstreamAnnounced, UpstreamFailing, UpstreamRestored, UpstreamLimited, UpstreamLeaving, UpstreamNoticeMalformed, UpstreamDeparted, HeartbeatUnconfirmed, UpstreamDraining, UpstreamLost, HTTPServer,
+		UpstreamAnnounced, UpstreamFailing, UpstreamRestored, UpstreamLimited, UpstreamLeaving, UpstreamNoticeMalformed, UpstreamDeparted, HeartbeatUnconfirmed, UpstreamIDRepeated, UpstreamResponseSkipped, UpstreamResponseWithoutID, UpstreamDraining, UpstreamLost, HTTPServer,
 		SettingsReloaded, SettingsRejected, LogLinesDropped, AcceptFailed, PanicContained, SettingsUnknown,
 		PeerUp, PeerDown, PeerSilent, PeerFrameMalformed, PeerRowsApplied, PeerDiscovered, FeedSubscribed, FeedUnsubscribed, HeartbeatMalformed, HeartbeatOutdated,
-		RequestMalformed, RequestNoRoute, RequestAttempt, RequestRefused, RequestFailed, UpstreamUnreachable,
+		RequestMalformed, RequestNoRoute, RequestAttempt, RequestRefused, RequestFailed, RequestIDRepeated, UpstreamUnreachable,
 		MoveOrdered, MoveOrderMalformed, VersionRejected, StoreHistoryTruncated, StoreReadRepeated,
 		MoveStage, MoveRolledBack, MoveOutcome, MoveOutcomePending,
 		PlatformDown, PlatformUp, MemberRowWriteFailed, DepartureWriteFailed, DepartureInPeersOnly, DepartureRowMalformed,
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -92,6 +92,7 @@
 	n.admission = admission.New(admission.Options{
 		Tracker: n.tracker, Client: backend.NewClient(backend.Options{
 			Address: s.ServerAddress, Headers: d.Headers, Notice: d.ServerNotice, Bodies: s.memoryBudget(bodyMemoryShare),
+			Metrics: backend.NewMetrics(n.registry),
 		}),
 		Ledger: ledger.New(ledger.Options{Metrics: ledger.NewMetrics(n.registry)}),
 		Drain:  s.Bounds.Drain, Observer: (*observer)(n), Running: n.running, Uplink: n.uplink,
