Reproduce the incident: a repeated id gets the copy of an earlier response

What callers saw: a success where the server had answered with a failure. The test sends one id several times over a client with one pooled connection; the server answers 200 and 500 in turn and sends each response again, late.

--- /dev/null
+++ b/pkg/backend/repeatedid_test.go
@@ -0,0 +1,98 @@
+package backend
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"corianderwood.example/corianderwood/pkg/routing"
+)
+
+// repeatingServer responds to the first request with an id with status 200, to the second
+// with 500, and so on in turn. The body is the number of the request among those with its id.
+// It sends each response again on the same connection after a delay.
+type repeatingServer struct {
+	takes, delay time.Duration
+
+	mu       sync.Mutex
+	requests map[string]int // by id
+}
+
+func (s *repeatingServer) start(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	s.requests = make(map[string]int)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(conn)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func (s *repeatingServer) serve(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		text := s.respond(r.Header.Get("X-Id"))
+		time.Sleep(s.takes)
+		_, _ = conn.Write([]byte(text))
+		time.AfterFunc(s.delay, func() { _, _ = conn.Write([]byte(text)) })
+	}
+}
+
+func (s *repeatingServer) respond(id string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.requests[id]++
+	body := strconv.Itoa(s.requests[id])
+	if s.requests[id]%2 == 1 {
+		return ok(id, body)
+	}
+	return fmt.Sprintf("HTTP/1.1 500 Failed\r\nX-Id: %s\r\nX-Signature: s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+// Guards against the late copy of a response that is taken for the response to a later
+// request with the same id.
+func TestRepeatedIDGetsCopyOfEarlierResponse(t *testing.T) {
+	const requests = 6
+	for _, delay := range []time.Duration{0, 2 * time.Millisecond, 6 * time.Millisecond, 30 * time.Millisecond} {
+		for _, between := range []int{0, 1, 5} { // requests with other ids
+			t.Run(fmt.Sprintf("copy after %s, %d other requests", delay, between), func(t *testing.T) {
+				t.Parallel()
+				s := &repeatingServer{takes: 10 * time.Millisecond, delay: delay}
+				c := newClient(s.start(t), testBodies)
+				for i := range requests {
+					res := c.Do(context.Background(), request("r", routing.Safe), "i")
+					if want := strconv.Itoa(i + 1); string(res.Body) != want {
+						t.Errorf("request %s got the response to request %q with status %d", want, res.Body, res.Status)
+					}
+					for k := range between {
+						id := fmt.Sprint("other-", i, "-", k)
+						if res := c.Do(context.Background(), request(id, routing.Safe), "i"); string(res.Body) != "1" || res.Status != http.StatusOK {
+							t.Errorf("request %s: status %d, body %q", id, res.Status, res.Body)
+						}
+					}
+				}
+			})
+		}
+	}
+}
