soak: play late copies and clients that repeat a request

The soak could not find it: a Duplicating server wrote both responses at once and closed the connection, and no client sent an id again.

A Duplicating server now sends the copy up to 60 ms later on the connection, which stays in use, and answers one of ten requests with a signed 500. A further client for each node uses the retry of net/http behind a proxy that resets a third of the responses. A signed response names the execution that it belongs to; the checker reports a response of an execution that started before the client last began to send the request.

--- a/harness/soak/checker.go
+++ b/harness/soak/checker.go
@@ -12,9 +12,15 @@
 
 // requestState is what is known of one client request.
 type requestState struct {
-	unsafe     bool
-	executions int
-	refused    bool // got a status that guarantees that it was not executed
+	unsafe bool
+	// statuses holds the status with which the server responds to each execution, or
+	// noResponse. Executions are numbered from 1 in the order in which they start.
+	statuses []int
+	sendings int
+	// before is the number of executions that had started when the client last began to send
+	// the request.
+	before  int
+	refused bool // got a status that guarantees that it was not executed
 }
 
 // Checker records the events that clients and servers observe and detects violated
@@ -60,22 +66,58 @@
 	c.requests[id] = &requestState{unsafe: unsafe}
 }
 
-// OnStart records that a server starts to execute a request.
-func (c *Checker) OnStart(id, server string) {
+// OnSending records that a client begins to send a request on a connection. An HTTP client
+// repeats a safe request by itself if its connection breaks. OnSent must have been called
+// with the id.
+func (c *Checker) OnSending(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.requests[id]
+	r.sendings++
+	r.before = len(r.statuses)
+	if r.sendings > 1 {
+		c.counts["sent again"]++
+	}
+}
+
+// OnStart records that a server starts to execute a request, and the status with which it
+// will respond, or noResponse. It returns the number of the execution.
+func (c *Checker) OnStart(id, server string, status int) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r, ok := c.requests[id]
 	if !ok {
 		c.addViolation("server %s executes request %q, which no client sent", server, id)
-		return
+		return 0
 	}
-	r.executions++
-	if r.unsafe && r.executions > 1 {
-		c.addViolation("request %s must be executed at most once, but was executed %d times, last by %s", id, r.executions, server)
+	r.statuses = append(r.statuses, status)
+	executions := len(r.statuses)
+	if r.unsafe && executions > 1 {
+		c.addViolation("request %s must be executed at most once, but was executed %d times, last by %s", id, executions, server)
 	}
 	if r.unsafe && r.refused {
 		c.addViolation("request %s was refused as not executed, but is executed by %s", id, server)
 	}
+	return executions
+}
+
+// OnResponse records a server's response that a client received, and the number of the
+// execution that the response names. The execution must have started after the client
+// last began to send the request: the client no longer reads the connections on which it
+// sent the request before, so the response to an earlier sending can only be a copy. The
+// node may try several servers for one sending, so any execution since then may be named.
+// OnSent must have been called with the id.
+func (c *Checker) OnResponse(id string, status, execution int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.requests[id]
+	switch {
+	case execution < 1 || execution > len(r.statuses) || r.statuses[execution-1] != status:
+		c.addViolation("request %s got status %d of execution %d, but the statuses of its executions are %v", id, status, execution, r.statuses)
+	case execution <= r.before:
+		c.addViolation("request %s got status %d of execution %d, but was sent again after its start; the executions since then have the statuses %v",
+			id, status, execution, r.statuses[r.before:])
+	}
 }
 
 // OnRefusal records a status that guarantees that the request was not and will
@@ -85,7 +127,7 @@
 	defer c.mu.Unlock()
 	r := c.requests[id]
 	r.refused = true
-	if r.unsafe && r.executions > 0 {
+	if r.unsafe && len(r.statuses) > 0 {
 		c.addViolation("request %s was executed, but refused with status %d", id, status)
 	}
 }
@@ -97,13 +139,13 @@
 func (c *Checker) OnLoss(id, node string, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.requests[id].executions > 0 {
+	if len(c.requests[id].statuses) > 0 {
 		c.addViolation("request %s was executed, but %s closed the connection without a response: %v", id, node, err)
 	}
 }
 
-// Report returns the violations, at most the first 20, and the number of requests
-// by outcome.
+// Report returns the violations, at most the first 20, and the counts of the outcomes of
+// requests, of requests sent again and of copied responses.
 func (c *Checker) Report() ([]string, map[string]int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/harness/soak/client.go
+++ b/harness/soak/client.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -21,14 +23,25 @@
 type client struct {
 	soak     *Soak
 	instance *Instance
+	address  string
 	http     *http.Client
+	// repeats reports that the client sends a safe request again if its connection breaks.
+	repeats bool
 }
 
 func newClient(s *Soak, i *Instance) *client {
 	transport := &http.Transport{
 		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, MaxIdleConnsPerHost: 8, DisableCompression: true,
 	}
-	return &client{soak: s, instance: i, http: &http.Client{Transport: transport}}
+	return &client{soak: s, instance: i, address: i.address(storetest.ClientPort), http: &http.Client{Transport: transport}}
+}
+
+// newRepeatingClient returns a client whose connections are reset as responses pass. Its
+// transport sends safe requests again, with the same id.
+func newRepeatingClient(s *Soak, i *Instance) *client {
+	c := newClient(s, i)
+	c.address, c.repeats = s.resetProxies[i.name].Address(), true
+	return c
 }
 
 // run sends requests until the context ends.
@@ -51,15 +64,17 @@
 	switch {
 	case err != nil:
 		c.soak.checker.Count("no answer")
-		if !errors.Is(err, context.DeadlineExceeded) && c.instance.Undisturbed(2*clientDeadline) {
+		if !c.repeats && !errors.Is(err, context.DeadlineExceeded) && c.instance.Undisturbed(2*clientDeadline) {
 			c.soak.checker.OnLoss(id, c.instance.name, err)
 		}
 		return false
-	case status == http.StatusOK:
-		want := fmt.Sprintf("%s %s body-%s", service, id, id)
-		if body != want || header.Get(headers.Signature) != signature+id {
-			c.soak.checker.Violationf("request %s got response body %q with signature %q", id, body, header.Get(headers.Signature))
+	case status == http.StatusOK || header.Get(headers.Signature) != "":
+		execution, ok := executionOf(id, header.Get(headers.Signature))
+		if !ok || status == http.StatusOK && body != responseBody(service, id, c.body(id), execution) {
+			c.soak.checker.Violationf("request %s got status %d and body %q with signature %q", id, status, body, header.Get(headers.Signature))
+			break
 		}
+		c.soak.checker.OnResponse(id, status, execution)
 	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
 		c.soak.checker.OnRefusal(id, status)
 		if header.Get("Retry-After") == "" {
@@ -72,11 +87,35 @@
 	return status == http.StatusOK
 }
 
+// body returns the body of the request with the given id. The transport repeats only
+// requests without one.
+func (c *client) body(id string) string {
+	if c.repeats {
+		return ""
+	}
+	return "body-" + id
+}
+
+// executionOf returns the number of the execution that a signature names; ok is false if it is
+// not the signature of a response to the request with the given id.
+func executionOf(id, text string) (execution int, ok bool) {
+	number, ok := strings.CutPrefix(text, signature+id+".")
+	execution, err := strconv.Atoi(number)
+	return execution, ok && err == nil
+}
+
 // exchange sends one request and reads the whole response.
 func (c *client) exchange(method, path, id string) (int, string, http.Header, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), clientDeadline)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.instance.address(storetest.ClientPort)+path, strings.NewReader("body-"+id))
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { c.soak.checker.OnSending(id) },
+	})
+	var content io.Reader
+	if body := c.body(id); body != "" {
+		content = strings.NewReader(body)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.address+path, content)
 	if err != nil {
 		return 0, "", nil, err
 	}
@@ -84,7 +123,8 @@
 	req.Header.Set(headers.RequestID, id)
 	req.Header.Set(headers.Deadline, fmt.Sprint(clientDeadline.Milliseconds()))
 	req.Header.Set(headers.CallerService, "forged")
-	// Prevents retries by the transport, which would look like retries by the node.
+	// Prevents retries of requests with a body by the transport, which would look like
+	// retries by the node.
 	req.GetBody = nil
 	res, err := c.http.Do(req)
 	if err != nil {
--- a/harness/soak/proxy.go
+++ b/harness/soak/proxy.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
@@ -22,10 +23,15 @@
 	// DropBoth drops the bytes of both directions and doesn't connect new connections
 	// to the target.
 	DropBoth
+	// ResetToDialer resets the connection instead of forwarding one of resetOneIn blocks of
+	// bytes sent to the dialing side.
+	ResetToDialer
 )
 
-// blockDelay is how long Delay delays each block of bytes.
-const blockDelay = 30 * time.Millisecond
+const (
+	blockDelay = 30 * time.Millisecond // how long Delay delays each block of bytes
+	resetOneIn = 3                     // blocks
+)
 
 // Proxy forwards the TCP connections from one process to another. mu guards the state.
 // A direction of a connection that has dropped bytes forwards nothing more, since its
@@ -66,11 +72,15 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.conns {
-		_ = c.(*net.TCPConn).SetLinger(0) // an error is ignored: Close ends the connection in any case
-		_ = c.Close()
+		reset(c)
 	}
 }
 
+func reset(c net.Conn) {
+	_ = c.(*net.TCPConn).SetLinger(0) // an error is ignored: Close ends the connection in any case
+	_ = c.Close()
+}
+
 // Close closes the listener and resets all connections.
 func (p *Proxy) Close() {
 	_ = p.listener.Close()
@@ -136,6 +146,11 @@
 		if mode == Delay {
 			time.Sleep(blockDelay)
 		}
+		if mode == ResetToDialer && dropMode == DropToDialer && n > 0 && rand.N(resetOneIn) == 0 {
+			reset(to)
+			reset(from)
+			return
+		}
 		dropped = dropped || mode == dropMode || mode == DropBoth
 		if n > 0 && !dropped {
 			if _, werr := to.Write(buf[:n]); werr != nil {
--- a/harness/soak/server.go
+++ b/harness/soak/server.go
@@ -1,7 +1,9 @@
 package soak
 
 import (
+	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -32,23 +34,35 @@
 	// Resetting closes the connection of half of the requests, after it has executed
 	// them, without a response.
 	Resetting
-	// Duplicating sends half of the responses twice.
+	// Duplicating sends each response twice, the second time up to maxCopyDelay later on the
+	// same connection, which stays in use. One of copiedFailureOneIn has status 500.
 	Duplicating
 )
 
 const (
 	workTime = 8 * time.Millisecond // how long a server works on a request
 	slots    = 6                    // concurrent requests that heartbeats announce as the capacity
-	// signature, followed by the request id, is the signature header of each response. A
-	// client detects by it a header that was lost or belongs to another response.
+	// maxCopyDelay is the time after a response within which a copy of it is sent.
+	maxCopyDelay = 60 * time.Millisecond
+	// copiedFailureOneIn, in responses, is how rare failures of a Duplicating server are. With
+	// more of them, nodes avoid the server.
+	copiedFailureOneIn = 10
+	// signature, followed by the request id, a dot and the number of the execution, is the
+	// signature header of each response. A client detects by it a header that was lost or
+	// belongs to another response.
 	signature = "signed"
 )
 
+// noResponse stands for the status of an execution that ends without a response.
+const noResponse = 0
+
+var errNoResponse = errors.New("the response is withheld")
+
 // Server is a fake application server next to one node. mu guards the fields below it.
 type Server struct {
 	name, service, address string
 	checker                *Checker
-	http                   *http.Server
+	listener               net.Listener
 
 	mu           sync.Mutex
 	misbehavior  Misbehavior
@@ -65,10 +79,9 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{name: name, service: service, address: address, checker: c}
+	s := &Server{name: name, service: service, address: address, checker: c, listener: l}
 	s.NewIncarnation()
-	s.http = &http.Server{Handler: s}
-	go func() { _ = s.http.Serve(l) }() // ends with Close
+	go s.accept()
 	return s, nil
 }
 
@@ -121,31 +134,72 @@
 	}
 }
 
-// ServeHTTP executes one request.
-func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (s *Server) accept() {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		go s.serve(&serverConnection{Conn: conn})
+	}
+}
+
+// serve executes the requests on one connection, one after the other.
+func (s *Server) serve(conn *serverConnection) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil || s.execute(conn, r) != nil {
+			return
+		}
+	}
+}
+
+// execute executes one request and responds to it. An error means that the connection can't
+// be used for further requests.
+func (s *Server) execute(conn *serverConnection, r *http.Request) error {
 	id := r.Header.Get(headers.RequestID)
 	s.mu.Lock()
 	misbehavior, instanceID, acked := s.misbehavior, s.instanceID, s.drainAckedAt
 	s.mu.Unlock()
-	w.Header().Set(headers.RequestID, id)
-	if r.Header.Get(headers.ExpectInstance) != instanceID {
-		w.WriteHeader(http.StatusMisdirectedRequest)
-		return
+	header := make(http.Header)
+	header.Set(headers.RequestID, id)
+	respond := func(status int, body string) error {
+		response := encodeResponse(status, header, body)
+		if err := conn.send(response); err != nil {
+			return err
+		}
+		if misbehavior == Duplicating {
+			s.checker.Count("copied")
+			conn.sendLater(response, rand.N(maxCopyDelay))
+		}
+		return nil
 	}
-	if late := time.Since(acked) - drainGrace; !acked.IsZero() && late > 0 {
+	expected := r.Header.Get(headers.ExpectInstance) == instanceID
+	if late := time.Since(acked) - drainGrace; expected && !acked.IsZero() && late > 0 {
 		s.checker.Violationf("request %s reached draining server %s %v after the end of its grace period", id, instanceID, late)
 	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
-		return // the caller has closed the connection
+		return err // the caller has closed the connection
+	}
+	if !expected {
+		return respond(http.StatusMisdirectedRequest, "")
 	}
 	misbehave := rand.IntN(2) == 0
 	if misbehavior == Rejecting && misbehave {
-		w.Header().Set(headers.NotExecuted, "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
+		header.Set(headers.NotExecuted, "1")
+		return respond(http.StatusServiceUnavailable, "")
 	}
-	s.checker.OnStart(id, instanceID)
+	status := http.StatusOK
+	switch {
+	case misbehavior == Failing && misbehave, misbehavior == Duplicating && rand.IntN(copiedFailureOneIn) == 0:
+		status = http.StatusInternalServerError
+	case misbehavior == Resetting && misbehave:
+		status = noResponse
+	}
+	execution := s.checker.OnStart(id, instanceID, status)
 	if caller := r.Header.Get(headers.CallerService); caller != "alpha" && caller != "beta" {
 		s.checker.Violationf("request %s has unexpected caller service %q", id, caller)
 	}
@@ -154,32 +208,21 @@
 		work *= 5
 	}
 	time.Sleep(work)
-	w.Header().Set(headers.Signature, signature+id)
-	switch {
-	case misbehavior == Failing && misbehave:
-		w.WriteHeader(http.StatusInternalServerError)
-	case misbehavior == Resetting && misbehave:
-		panic(http.ErrAbortHandler)
-	case misbehavior == Duplicating && misbehave:
-		s.sendTwice(w, id, body)
+	header.Set(headers.Signature, fmt.Sprintf("%s%s.%d", signature, id, execution))
+	switch status {
+	case noResponse:
+		return errNoResponse
+	case http.StatusOK:
+		return respond(status, responseBody(s.service, id, string(body), execution))
 	default:
-		fmt.Fprintf(w, "%s %s %s", s.service, id, body)
+		return respond(status, "")
 	}
 }
 
-// sendTwice sends the response twice on the same connection.
-func (s *Server) sendTwice(w http.ResponseWriter, id string, body []byte) {
-	conn, out, err := w.(http.Hijacker).Hijack()
-	if err != nil {
-		return
-	}
-	defer conn.Close()
-	text := fmt.Sprintf("%s %s %s", s.service, id, body)
-	response := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s",
-		headers.RequestID, id, headers.Signature, signature+id, len(text), text)
-	_, _ = out.WriteString(response + response) // fails if the node has closed the connection
-	_ = out.Flush()
+// responseBody returns the body of the response of an execution.
+func responseBody(service, id, requestBody string, execution int) string {
+	return fmt.Sprintf("%s %s %s %d", service, id, requestBody, execution)
 }
 
-// Close closes the listener and all connections.
-func (s *Server) Close() { _ = s.http.Close() }
+// Close closes the listener. The connections end with the nodes.
+func (s *Server) Close() { _ = s.listener.Close() }
--- a/harness/soak/soak.go
+++ b/harness/soak/soak.go
@@ -44,6 +44,7 @@
 	instances    []*Instance
 	proxies      map[string]*Proxy // between nodes, by "from>to"
 	storeProxies map[string]*Proxy // proxy to the store, by node
+	resetProxies map[string]*Proxy // from repeating clients, by node
 	cleanups     []func()
 	addresses    *network
 
@@ -62,10 +63,7 @@
 // Run starts the nodes, injects faults and checks the guarantees. An error means that
 // the run could not start; violations are reported in the result.
 func Run(ctx context.Context, o Options) (Result, error) {
-	s := &Soak{
-		opts: o, rnd: rand.New(rand.NewPCG(o.Seed, 1)), checker: NewChecker(),
-		proxies: make(map[string]*Proxy), storeProxies: make(map[string]*Proxy),
-	}
+	s := newSoak(o)
 	defer s.close()
 	if err := s.start(); err != nil {
 		return Result{}, err
@@ -79,6 +77,7 @@
 		for _, unsafe := range []bool{false, true} {
 			wg.Go(func() { newClient(s, i).run(clientCtx, unsafe) })
 		}
+		wg.Go(func() { newRepeatingClient(s, i).run(clientCtx, false) })
 		wg.Go(func() { s.watchConfiguration(clientCtx, i) })
 	}
 	faults := s.runSchedule(ctx)
@@ -92,6 +91,13 @@
 	return Result{violations, counts, faults}, nil
 }
 
+func newSoak(o Options) *Soak {
+	return &Soak{
+		opts: o, rnd: rand.New(rand.NewPCG(o.Seed, 1)), checker: NewChecker(),
+		proxies: make(map[string]*Proxy), storeProxies: make(map[string]*Proxy), resetProxies: make(map[string]*Proxy),
+	}
+}
+
 // start starts the store, the proxies, the servers and the nodes.
 func (s *Soak) start() error {
 	addresses, err := reserveNetwork()
@@ -123,6 +129,12 @@
 		if err := i.writeSettings(storeAddress); err != nil {
 			return err
 		}
+		p, err := NewProxy(i.ip, i.address(storetest.ClientPort))
+		if err != nil {
+			return err
+		}
+		p.SetMode(ResetToDialer)
+		s.resetProxies[i.name] = p
 	}
 	for _, i := range s.instances {
 		if err := i.Start(); err != nil {
@@ -274,6 +286,9 @@
 	for _, p := range s.storeProxies {
 		p.Close()
 	}
+	for _, p := range s.resetProxies {
+		p.Close()
+	}
 	s.store.Close()
 	for _, i := range s.instances {
 		for _, ok := i.pid(); ok; _, ok = i.pid() {
