backend: send a repeated id on another connection

Cause: a server may send a second copy of a response, late, on a connection that is in use again. readResponse told a copy from the response to the request in progress by the request id only. That identifies a response only as long as no id comes twice over the connection. A caller's HTTP client that repeats an idempotent request by itself when its connection breaks sends the same id again; the most recently used connection to the server is taken first, and is the one that carried the id before.

Change: a connection is never used for an id that it has carried; another idle one is taken, or a new one opened. A connection keeps hashes of its ids and is closed after 1,024 requests, so that they take 8 kB at most.

TestConnectionReuse and TestRepeatedIDReusesOtherConnections check that connections are reused as before for other ids.

--- a/pkg/backend/client.go
+++ b/pkg/backend/client.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -74,36 +75,52 @@
 	}
 }
 
+// acquire returns an idle connection that has not carried a request with the same id, or opens
+// one.
 func (c *Client) acquire(ctx context.Context, req *call.Request) (*connection, error) {
 	maxIdle := defaultKeepAlive
 	if !req.Kind.Idempotent() {
 		maxIdle = maxIdleUnsafe
 	}
+	conn, repeated := c.takeUsable(req.ID, maxIdle)
+	if repeated {
+		c.opts.Metrics.idRepeated(req.ID)
+	}
+	if conn == nil {
+		return c.dial(ctx)
+	}
+	return conn, nil
+}
+
+// takeUsable removes connections from the pool that have not carried the id, the most recently
+// used first, until one is usable, and closes the others. It returns nil if none is. It also
+// reports whether a connection was passed over because it has carried the id.
+func (c *Client) takeUsable(id string, maxIdle time.Duration) (conn *connection, repeated bool) {
 	now := time.Now()
 	for {
-		conn := c.pop()
-		if conn == nil {
-			return c.dial(ctx)
-		}
-		if conn.usable(now, maxIdle) {
-			if conn.ids.contains(req.ID) {
-				c.opts.Metrics.idRepeated(req.ID, conn)
-			}
-			return conn, nil
+		conn, passedOver := c.take(id)
+		repeated = repeated || passedOver
+		if conn == nil || conn.usable(now, maxIdle) {
+			return conn, repeated
 		}
 		_ = conn.Close()
 	}
 }
 
-func (c *Client) pop() *connection {
+// take removes the most recently used idle connection that has not carried the id from the
+// pool. It returns nil if there is none, and whether a connection was passed over.
+func (c *Client) take(id string) (conn *connection, passedOver bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.idle) == 0 {
-		return nil
+	for i, conn := range slices.Backward(c.idle) {
+		if conn.ids.contains(id) {
+			passedOver = true
+			continue
+		}
+		c.idle = slices.Delete(c.idle, i, i+1)
+		return conn, passedOver
 	}
-	conn := c.idle[len(c.idle)-1]
-	c.idle = c.idle[:len(c.idle)-1]
-	return conn
+	return nil, passedOver
 }
 
 func (c *Client) put(conn *connection) {
--- a/pkg/backend/exchange.go
+++ b/pkg/backend/exchange.go
@@ -44,12 +44,12 @@
 	}
 	outcome := c.outcome(res)
 	// The next response on the connection could be a copy of this one. Only its id tells the
-	// copy from the response to the next request.
+	// copy from the response to the next request, which therefore must have another id.
 	identified := res.Header.Get(c.opts.Headers.RequestID) == req.ID
 	if !identified {
 		c.opts.Metrics.responseWithoutID(req.ID, res.StatusCode, conn)
 	}
-	if !stop() || res.Close || !identified || conn.reader.Buffered() > 0 {
+	if !stop() || res.Close || !identified || conn.ids.full() || conn.reader.Buffered() > 0 {
 		_ = conn.Close()
 		return outcome
 	}
--- a/pkg/backend/idhistory.go
+++ b/pkg/backend/idhistory.go
@@ -17,4 +17,7 @@
 	return slices.Contains(h.hashes, maphash.String(idSeed, id))
 }
 
+// full reports whether no further id should be added, so that the set stays small.
+func (h *idHistory) full() bool { return len(h.hashes) >= maxRequestsPerConnection }
+
 func (h *idHistory) len() int { return len(h.hashes) }
--- a/pkg/backend/monitoring.go
+++ b/pkg/backend/monitoring.go
@@ -51,10 +51,10 @@
 	return m
 }
 
-// idRepeated records a request whose id the connection has carried before.
-func (m *Metrics) idRepeated(id string, conn *connection) {
+// idRepeated records a request whose id an idle connection has carried before.
+func (m *Metrics) idRepeated(id string) {
 	m.repeated.Inc()
-	m.log.Write(event.UpstreamIDRepeated, "request", id, "carried", conn.ids.len())
+	m.log.Write(event.UpstreamIDRepeated, "request", id)
 }
 
 // skip records a response that is not the one to the request with the id.
--- a/pkg/backend/repeatedid_test.go
+++ b/pkg/backend/repeatedid_test.go
@@ -96,3 +96,37 @@
 		}
 	}
 }
+
+// Guards against connections that are not reused for requests with other ids, and against a
+// connection whose ids are kept without a bound.
+func TestConnectionReuse(t *testing.T) {
+	for _, test := range []struct{ requests, opened int }{{maxRequestsPerConnection, 1}, {2*maxRequestsPerConnection + 1, 3}} {
+		c := newClient(server(t, func(_ int, r *http.Request) string { return ok(r.Header.Get("X-Id"), "") }), testBodies)
+		for i := range test.requests {
+			id := fmt.Sprint("r", i)
+			if res := c.Do(context.Background(), request(id, routing.Unsafe), "i"); res.Status != http.StatusOK {
+				t.Fatalf("request %s: %+v", id, res)
+			}
+		}
+		if c.Opened() != test.opened {
+			t.Errorf("%d requests: %d connections, want %d", test.requests, c.Opened(), test.opened)
+		}
+	}
+}
+
+// Guards against repeated ids that open connections although idle ones have not carried them.
+func TestRepeatedIDReusesOtherConnections(t *testing.T) {
+	c := newClient(server(t, func(_ int, r *http.Request) string { return ok(r.Header.Get("X-Id"), "") }), testBodies)
+	for range 3 {
+		c.Do(context.Background(), request("r", routing.Safe), "i")
+	}
+	if c.Opened() != 3 {
+		t.Fatalf("%d connections for 3 requests with one id", c.Opened())
+	}
+	for i := range 10 {
+		c.Do(context.Background(), request(fmt.Sprint("other-", i%2), routing.Safe), "i")
+	}
+	if c.Opened() > 5 {
+		t.Errorf("%d connections, want at most as many as requests with one id", c.Opened())
+	}
+}
--- a/pkg/backend/tunables.go
+++ b/pkg/backend/tunables.go
@@ -18,6 +18,9 @@
 	// that must not run twice. If the server has dropped the connection, the request
 	// is lost and it is unknown whether it ran.
 	maxIdleUnsafe = time.Second
+	// maxRequestsPerConnection bounds the requests that a connection carries, and so the
+	// memory for their ids to 8 kB.
+	maxRequestsPerConnection = 1024
 	// maxStrayResponses bounds the responses read for a request, including the interim
 	// ones and those to earlier requests, which are skipped.
 	maxStrayResponses = 4
