backend: attribute no response without an id on a connection that was used before

What callers would see: a request that a server runs with success is answered as failed, or is refused as not run (REFUSED) and, if the refusal comes from a server, sent to another one, so that an unsafe request runs twice.

Cause: a failure without an id was always taken for the response to the request in progress. A server that sends a second response late may leave the id out, or answer otherwise than at first.

Change: only the first request on a connection may get a failure without an id, since no response to an earlier one can arrive there. Otherwise the outcome is unknown, and the connection is closed. Servers echo the id by the protocol; those that leave it out in refusals lose at most one request that must not be repeated per connection, since the connection was closed after such a response before as well.

--- a/pkg/backend/exchange.go
+++ b/pkg/backend/exchange.go
@@ -10,8 +10,7 @@
 	"corianderwood.example/corianderwood/pkg/reason"
 )
 
-// errMismatch reports that only interim responses or responses to earlier requests were
-// received.
+// errMismatch reports that no response was received that is known to belong to the request.
 var errMismatch = errors.New("response does not carry the id of the request")
 
 // exchange sends the request on conn and reads its response.
@@ -47,7 +46,7 @@
 	// copy from the response to the next request, which therefore must have another id.
 	identified := res.Header.Get(c.opts.Headers.RequestID) == req.ID
 	if !identified {
-		c.opts.Metrics.responseWithoutID(req.ID, res.StatusCode, conn)
+		c.opts.Metrics.responseWithoutID(req.ID, res.StatusCode)
 	}
 	if !stop() || res.Close || !identified || conn.ids.full() || conn.reader.Buffered() > 0 {
 		_ = conn.Close()
@@ -83,9 +82,8 @@
 	return call.Response{Refusal: reason.UpstreamFailed, Ran: reason.RanUnknown, ReachedServer: true}
 }
 
-// readResponse reads the complete response to the request. It skips responses to earlier
-// requests, which have another id. A response without an id is skipped only if it is a
-// success.
+// readResponse reads the complete response to the request, and skips those that belong to no
+// request or to an earlier one.
 func (c *Client) readResponse(conn *connection, req *call.Request) (*response, error) {
 	for range maxStrayResponses {
 		if _, err := conn.reader.Peek(1); err != nil {
@@ -106,15 +104,15 @@
 		if err != nil {
 			return nil, err
 		}
-		id := res.Header.Get(c.opts.Headers.RequestID)
-		if id != req.ID && (id != "" || res.StatusCode/100 == 2) {
-			c.opts.Metrics.skip(conn.skipReason(id), req.ID, id, res.StatusCode, conn)
-			if res.Close {
-				return nil, errMismatch
-			}
-			continue
+		id, success := res.Header.Get(c.opts.Headers.RequestID), res.StatusCode/100 == 2
+		if id == req.ID || id == "" && !success && conn.carriesFirst() {
+			return &response{Response: res, body: body}, nil
+		}
+		c.opts.Metrics.skip(conn.skipReason(id), req.ID, id, res.StatusCode, conn)
+		// A failure without an id is probably the only response that will arrive.
+		if res.Close || id == "" && !success {
+			return nil, errMismatch
 		}
-		return &response{Response: res, body: body}, nil
 	}
 	return nil, errMismatch
 }
--- a/pkg/backend/monitoring.go
+++ b/pkg/backend/monitoring.go
@@ -39,7 +39,7 @@
 		skipped: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "corianderwood_server_responses_skipped_total", Help: "Responses of the local server that were not those to the request in progress, by reason."}, []string{"reason"}),
 		withoutID: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "corianderwood_server_responses_without_id_total", Help: "Responses of the local server without a request id that were taken for the one to the request in progress."}),
+			Name: "corianderwood_server_responses_without_id_total", Help: "Responses of the local server without a request id to the first request on a connection."}),
 		log: event.NewLimitedLog(logRate, logRate),
 	}
 	for _, why := range []skipReason{skipInterim, skipCopy, skipForeign, skipNoID} {
@@ -66,8 +66,9 @@
 	m.log.Write(event.UpstreamResponseSkipped, "request", id, "received", received, "status", status, "reason", string(why), "carried", conn.ids.len())
 }
 
-// responseWithoutID records a response without an id that is taken for the one to the request.
-func (m *Metrics) responseWithoutID(id string, status int, conn *connection) {
+// responseWithoutID records a response without an id that is taken for the one to the request,
+// the first on its connection.
+func (m *Metrics) responseWithoutID(id string, status int) {
 	m.withoutID.Inc()
-	m.log.Write(event.UpstreamResponseWithoutID, "request", id, "status", status, "carried", conn.ids.len())
+	m.log.Write(event.UpstreamResponseWithoutID, "request", id, "status", status)
 }
