--- a/harness/soak/server.go
+++ b/harness/soak/server.go
@@ -44,6 +44,8 @@
 	slots    = 6                    // concurrent requests that heartbeats announce as the capacity
 	// maxCopyDelay is the time after a response within which a copy of it is sent.
 	maxCopyDelay = 60 * time.Millisecond
+	// copyOneIn, in responses, is how rare copies of a server are that is not Duplicating.
+	copyOneIn = 5
 	// copiedFailureOneIn, in responses, is how rare failures of a Duplicating server are. With
 	// more of them, nodes avoid the server.
 	copiedFailureOneIn = 10
@@ -170,7 +172,7 @@
 		if err := conn.send(response); err != nil {
 			return err
 		}
-		if misbehavior == Duplicating {
+		if misbehavior == Duplicating || rand.IntN(copyOneIn) == 0 {
 			s.checker.Count("copied")
 			conn.sendLater(response, rand.N(maxCopyDelay))
 		}
