backend: don't open a further connection for each repetition of an id

Change: if all idle connections have carried the id and there are eight or more, the least recently used one is closed in exchange for the new one.

Evidence: TestConnectionsPileUpForOneID failed before ('9 idle connections after 9 requests with one id'); it passes.

--- a/pkg/backend/client.go
+++ b/pkg/backend/client.go
@@ -86,10 +86,28 @@
 	if repeated {
 		c.opts.Metrics.idRepeated(req.ID)
 	}
-	if conn == nil {
-		return c.dial(ctx)
+	if conn != nil {
+		return conn, nil
+	}
+	if repeated {
+		c.closeSurplus()
+	}
+	return c.dial(ctx)
+}
+
+// closeSurplus closes the least recently used idle connection if there are maxPassedOver, so that
+// a new one does not let their number grow with each repetition of an id.
+func (c *Client) closeSurplus() {
+	c.mu.Lock()
+	var surplus *connection
+	if len(c.idle) >= maxPassedOver {
+		surplus = c.idle[0]
+		c.idle = slices.Delete(c.idle, 0, 1)
+	}
+	c.mu.Unlock()
+	if surplus != nil {
+		_ = surplus.Close()
 	}
-	return conn, nil
 }
 
 // takeUsable removes connections from the pool that have not carried the id, the most recently
--- a/pkg/backend/connection.go
+++ b/pkg/backend/connection.go
@@ -41,13 +41,13 @@
 	return c.isOpenAndIdle()
 }
 
-// carriesFirst reports whether the request in progress is the first on the connection, so that
+// isFirstRequest reports whether the request in progress is the first on the connection, so that
 // no response to an earlier one can arrive.
-func (c *connection) carriesFirst() bool { return c.ids.len() == 1 }
+func (c *connection) isFirstRequest() bool { return c.ids.len() == 1 }
 
-// skipReason returns why a response with the given id does not belong to the request in
+// whyStray returns why a response with the given id does not belong to the request in
 // progress, which has another one.
-func (c *connection) skipReason(id string) skipReason {
+func (c *connection) whyStray(id string) skipReason {
 	switch {
 	case id == "":
 		return skipNoID
--- a/pkg/backend/exchange.go
+++ b/pkg/backend/exchange.go
@@ -105,11 +105,11 @@
 			return nil, err
 		}
 		id, success := res.Header.Get(c.opts.Headers.RequestID), res.StatusCode/100 == 2
-		if id == req.ID || id == "" && !success && conn.carriesFirst() {
+		if id == req.ID || id == "" && !success && conn.isFirstRequest() {
 			return &response{Response: res, body: body}, nil
 		}
-		c.opts.Metrics.skip(conn.skipReason(id), req.ID, id, res.StatusCode, conn)
-		// A failure without an id is probably the only response that will arrive.
+		c.opts.Metrics.skip(conn.whyStray(id), req.ID, id, res.StatusCode, conn)
+		// A server that leaves out the id in failures would send no further response.
 		if res.Close || id == "" && !success {
 			return nil, errMismatch
 		}
--- a/pkg/backend/fuzz_test.go
+++ b/pkg/backend/fuzz_test.go
@@ -36,21 +36,35 @@
 		f.Add([]byte(seed))
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
-		c := NewClient(Options{Headers: headers, Notice: noNotice, Bodies: boundedio.NewBudget(1 << 20), Metrics: NewMetrics(nil)})
-		input := boundedio.NewLimitedReader(outputConn{output: bytes.NewReader(data)})
-		conn := &connection{Conn: outputConn{}, input: input, reader: bufio.NewReaderSize(input, readBuffer)}
-		res := c.exchange(context.Background(), conn, request("r", routing.Unsafe), "i")
-		if res.Status/100 == 2 && !bytes.Contains(res.Head, []byte("X-Id: r\r\n")) {
-			t.Errorf("status %d without the id: %q", res.Status, res.Head)
-		}
-		if res.Status == 0 && res.Ran == reason.RanNo {
-			t.Errorf("without a response the request is reported as not run: %+v", res)
-		}
-		if len(c.idle) > 0 && c.idle[0].reader.Buffered() > 0 {
-			t.Error("a connection with unread bytes is kept")
-		}
-		if len(c.idle) > 0 && c.idle[0].keepAlive < 0 {
-			t.Errorf("keep-alive time %v", c.idle[0].keepAlive)
+		for _, earlier := range [][]string{nil, {"old"}} {
+			checkResponses(t, data, earlier)
 		}
 	})
 }
+
+// checkResponses checks the outcome of a request on a connection that has carried the earlier
+// ids and receives the data.
+func checkResponses(t *testing.T, data []byte, earlier []string) {
+	c := NewClient(Options{Headers: headers, Notice: noNotice, Bodies: boundedio.NewBudget(1 << 20), Metrics: NewMetrics(nil)})
+	input := boundedio.NewLimitedReader(outputConn{output: bytes.NewReader(data)})
+	conn := &connection{Conn: outputConn{}, input: input, reader: bufio.NewReaderSize(input, readBuffer)}
+	for _, id := range earlier {
+		conn.ids.add(id)
+	}
+	res := c.exchange(context.Background(), conn, request("r", routing.Unsafe), "i")
+	if res.Status/100 == 2 && !bytes.Contains(res.Head, []byte("X-Id: r\r\n")) {
+		t.Errorf("status %d without the id: %q", res.Status, res.Head)
+	}
+	if len(earlier) > 0 && res.Status != 0 && !bytes.Contains(bytes.ToLower(data), []byte("x-id:")) {
+		t.Errorf("a response without an id is taken though the connection has carried another request: %+v", res)
+	}
+	if res.Status == 0 && res.Ran == reason.RanNo {
+		t.Errorf("without a response the request is reported as not run: %+v", res)
+	}
+	if len(c.idle) > 0 && c.idle[0].reader.Buffered() > 0 {
+		t.Error("a connection with unread bytes is kept")
+	}
+	if len(c.idle) > 0 && c.idle[0].keepAlive < 0 {
+		t.Errorf("keep-alive time %v", c.idle[0].keepAlive)
+	}
+}
--- a/pkg/backend/monitoring.go
+++ b/pkg/backend/monitoring.go
@@ -6,27 +6,15 @@
 	"corianderwood.example/corianderwood/pkg/event"
 )
 
-// skipReason is why a response of the server is not the one to the request in progress.
-type skipReason string
-
-const (
-	// skipInterim is an interim response (1xx).
-	skipInterim skipReason = "interim"
-	// skipCopy is a response with the id of an earlier request on the connection.
-	skipCopy skipReason = "earlier-request"
-	// skipForeign is a response with an id that the connection has not carried.
-	skipForeign skipReason = "foreign-id"
-	// skipNoID is a response without an id.
-	skipNoID skipReason = "no-id"
-)
-
 // Metrics holds the metrics of a Client.
 type Metrics struct {
 	opened    prometheus.Counter
 	repeated  prometheus.Counter
 	skipped   *prometheus.CounterVec
 	withoutID prometheus.Counter
-	log       *event.LimitedLog
+	// responseLog and repeatedLog are apart, since a server that copies responses would use
+	// up the lines about repeated ids.
+	responseLog, repeatedLog *event.LimitedLog
 }
 
 // NewMetrics returns the metrics and registers them with reg unless reg is nil.
@@ -35,12 +23,13 @@
 		opened: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "corianderwood_server_connections_opened_total", Help: "Connections opened to the local server."}),
 		repeated: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "corianderwood_server_ids_repeated_total", Help: "Requests whose id an idle connection to the local server has carried before."}),
+			Name: "corianderwood_server_ids_repeated_total", Help: "Requests for which an idle connection to the local server was passed over because it had carried their id."}),
 		skipped: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "corianderwood_server_responses_skipped_total", Help: "Responses of the local server that were not those to the request in progress, by reason."}, []string{"reason"}),
 		withoutID: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "corianderwood_server_responses_without_id_total", Help: "Responses of the local server without a request id to the first request on a connection."}),
-		log: event.NewLimitedLog(logRate, logRate),
+		responseLog: event.NewLimitedLog(responseLogRate, responseLogRate),
+		repeatedLog: event.NewLimitedLog(repeatedLogRate, repeatedLogRate),
 	}
 	for _, why := range []skipReason{skipInterim, skipCopy, skipForeign, skipNoID} {
 		m.skipped.WithLabelValues(string(why))
@@ -51,10 +40,10 @@
 	return m
 }
 
-// idRepeated records a request whose id an idle connection has carried before.
+// idRepeated records a request for which a connection was passed over because of its id.
 func (m *Metrics) idRepeated(id string) {
 	m.repeated.Inc()
-	m.log.Write(event.UpstreamIDRepeated, "request", id)
+	m.repeatedLog.Write(event.UpstreamIDRepeated, "request", id)
 }
 
 // skip records a response that is not the one to the request with the id.
@@ -63,12 +52,12 @@
 	if why == skipInterim {
 		return
 	}
-	m.log.Write(event.UpstreamResponseSkipped, "request", id, "received", received, "status", status, "reason", string(why), "carried", conn.ids.len())
+	m.responseLog.Write(event.UpstreamResponseSkipped, "request", id, "received", received, "status", status, "reason", string(why), "carried", conn.ids.len())
 }
 
 // responseWithoutID records a response without an id that is taken for the one to the request,
 // the first on its connection.
 func (m *Metrics) responseWithoutID(id string, status int) {
 	m.withoutID.Inc()
-	m.log.Write(event.UpstreamResponseWithoutID, "request", id, "status", status)
+	m.responseLog.Write(event.UpstreamResponseWithoutID, "request", id, "status", status)
 }
--- a/pkg/backend/repeatedid_test.go
+++ b/pkg/backend/repeatedid_test.go
@@ -18,12 +18,19 @@
 // with 500, and so on in turn. The body is the number of the request among those with its id.
 // It sends each response again on the same connection after a delay.
 type repeatingServer struct {
-	takes, delay time.Duration
+	delay time.Duration
 
 	mu       sync.Mutex
+	takes    time.Duration
 	requests map[string]int // by id
 }
 
+func (s *repeatingServer) setTakes(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.takes = d
+}
+
 func (s *repeatingServer) start(t *testing.T) string {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -52,22 +59,22 @@
 		if err != nil {
 			return
 		}
-		text := s.respond(r.Header.Get("X-Id"))
-		time.Sleep(s.takes)
+		text, takes := s.respond(r.Header.Get("X-Id"))
+		time.Sleep(takes)
 		_, _ = conn.Write([]byte(text))
 		time.AfterFunc(s.delay, func() { _, _ = conn.Write([]byte(text)) })
 	}
 }
 
-func (s *repeatingServer) respond(id string) string {
+func (s *repeatingServer) respond(id string) (text string, takes time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.requests[id]++
 	body := strconv.Itoa(s.requests[id])
 	if s.requests[id]%2 == 1 {
-		return ok(id, body)
+		return ok(id, body), s.takes
 	}
-	return fmt.Sprintf("HTTP/1.1 500 Failed\r\nX-Id: %s\r\nX-Signature: s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+	return fmt.Sprintf("HTTP/1.1 500 Failed\r\nX-Id: %s\r\nX-Signature: s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body), s.takes
 }
 
 // Guards against the late copy of a response that is taken for the response to a later
@@ -130,3 +137,17 @@
 		t.Errorf("%d connections, want at most as many as requests with one id", c.Opened())
 	}
 }
+
+// Guards against connections whose number grows with each repetition of one id until the server
+// takes no further one.
+func TestConnectionsPileUpForOneID(t *testing.T) {
+	c := newClient(server(t, func(_ int, r *http.Request) string { return ok(r.Header.Get("X-Id"), "") }), testBodies)
+	for i := range 200 {
+		if res := c.Do(context.Background(), request("r", routing.Safe), "i"); res.Status != http.StatusOK {
+			t.Fatalf("request %d: %+v", i, res)
+		}
+		if len(c.idle) > maxPassedOver {
+			t.Fatalf("%d idle connections after %d requests with one id", len(c.idle), i+1)
+		}
+	}
+}
--- a/pkg/backend/tunables.go
+++ b/pkg/backend/tunables.go
@@ -19,8 +19,12 @@
 	// is lost and it is unknown whether it ran.
 	maxIdleUnsafe = time.Second
 	// maxRequestsPerConnection bounds the requests that a connection carries, and so the
-	// memory for their ids to 8 kB.
+	// memory for their ids to some 10 kB.
 	maxRequestsPerConnection = 1024
+	// maxPassedOver is the number of idle connections that may all have carried the id of a
+	// request before one of them is closed in exchange for a new one. Servers limit the
+	// connections from all callers.
+	maxPassedOver = 8
 	// maxStrayResponses bounds the responses read for a request, including the interim
 	// ones and those to earlier requests, which are skipped.
 	maxStrayResponses = 4
@@ -36,6 +40,8 @@
 	// itself ends the request at its deadline.
 	responseMargin = 30 * time.Millisecond
 	readBuffer     = 8 << 10
-	// logRate limits the log lines about single responses, in lines per second.
-	logRate = 5
+	// responseLogRate and repeatedLogRate limit the log lines about single responses and about
+	// repeated ids, in lines per second.
+	responseLogRate = 5
+	repeatedLogRate = 5
 )
