backend: skip the copies of all earlier responses on a connection

What callers would see: after a burst of short requests to a server that sends each response again, a request is answered 502 though the server ran it with success. At most four responses were read for a request; the copies of more than three earlier responses may be waiting.

Change: one more is read for each request that the connection has carried.

Evidence: TestCopiesOfSeveralResponsesWait failed before ('status 0, refusal upstream-failed'); it passes.

--- a/pkg/backend/exchange.go
+++ b/pkg/backend/exchange.go
@@ -85,7 +85,8 @@
 // readResponse reads the complete response to the request, and skips those that belong to no
 // request or to an earlier one.
 func (c *Client) readResponse(conn *connection, req *call.Request) (*response, error) {
-	for range maxStrayResponses {
+	// Each earlier request on the connection may have left a copy of its response.
+	for range maxStrayResponses + conn.ids.len() {
 		if _, err := conn.reader.Peek(1); err != nil {
 			return nil, err
 		}
--- a/pkg/backend/repeatedid_test.go
+++ b/pkg/backend/repeatedid_test.go
@@ -151,3 +151,18 @@
 		}
 	}
 }
+
+// Guards against a request that is given up because the copies of several earlier responses
+// arrive before its own.
+func TestCopiesOfSeveralResponsesWait(t *testing.T) {
+	const burst = 12
+	s := &repeatingServer{takes: 100 * time.Microsecond, delay: 60 * time.Millisecond}
+	c := newClient(s.start(t), testBodies)
+	for i := range burst {
+		c.Do(context.Background(), request(fmt.Sprint("r", i), routing.Unsafe), "i")
+	}
+	s.setTakes(100 * time.Millisecond) // all copies arrive meanwhile
+	if res := c.Do(context.Background(), request("last", routing.Unsafe), "i"); res.Status != http.StatusOK || string(res.Body) != "1" {
+		t.Errorf("status %d, refusal %q, body %q", res.Status, res.Refusal, res.Body)
+	}
+}
--- a/pkg/backend/tunables.go
+++ b/pkg/backend/tunables.go
@@ -25,8 +25,8 @@
 	// request before one of them is closed in exchange for a new one. Servers limit the
 	// connections from all callers.
 	maxPassedOver = 8
-	// maxStrayResponses bounds the responses read for a request, including the interim
-	// ones and those to earlier requests, which are skipped.
+	// maxStrayResponses bounds the responses read for a request, including the interim ones,
+	// besides one copy for each request that the connection has carried.
 	maxStrayResponses = 4
 	// maxHeadBytes bounds the status line and the headers of a response.
 	maxHeadBytes = 64 << 10
