dispatch: don't pass on a response to another request

The node that received a request now compares the id in the response with the request's. If they differ, it logs event 425 and treats the outcome as unknown.

--- a/pkg/dispatch/exchange.go
+++ b/pkg/dispatch/exchange.go
@@ -87,7 +87,7 @@
 	if !req.Kind.Idempotent() {
 		req.CallID = x.dispatcher.nextCall()
 	}
-	res := x.execute(ctx, choice, &req)
+	res := x.ownResponse(x.execute(ctx, choice, &req))
 	x.tried = append(x.tried, choice.Node)
 	if res.ReachedServer {
 		x.arrivals++
--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -55,6 +55,7 @@
 	RequestAttempt            = Event{407, Info, "request was offered to a server"}
 	RequestRefused            = Event{408, Info, "request was refused and has not run"}
 	RequestIDRepeated         = Event{419, Info, "caller sent the id of an earlier request again"}
+	RequestResponseForeign    = Event{425, Error, "response to another request has arrived; it is not passed on"}
 	RequestFailed             = Event{409, Warning, "request ended without a server's response"}
 	UpstreamUnreachable       = Event{410, Warning, "upstream refuses connections; it counts as lost until its next heartbeat"}
 	MoveStage                 = Event{501, Info, "move has reached a stage"}
@@ -87,7 +88,7 @@
 		UpstreamAnnounced, UpstreamFailing, UpstreamRestored, UpstreamLimited, UpstreamLeaving, UpstreamNoticeMalformed, UpstreamDeparted, HeartbeatUnconfirmed, UpstreamIDRepeated, UpstreamResponseSkipped, UpstreamResponseWithoutID, UpstreamDraining, UpstreamLost, HTTPServer,
 		SettingsReloaded, SettingsRejected, LogLinesDropped, AcceptFailed, PanicContained, SettingsUnknown,
 		PeerUp, PeerDown, PeerSilent, PeerFrameMalformed, PeerRowsApplied, PeerDiscovered, FeedSubscribed, FeedUnsubscribed, HeartbeatMalformed, HeartbeatOutdated,
-		RequestMalformed, RequestNoRoute, RequestAttempt, RequestRefused, RequestFailed, RequestIDRepeated, UpstreamUnreachable,
+		RequestMalformed, RequestNoRoute, RequestAttempt, RequestRefused, RequestFailed, RequestIDRepeated, RequestResponseForeign, UpstreamUnreachable,
 		MoveOrdered, MoveOrderMalformed, VersionRejected, StoreHistoryTruncated, StoreReadRepeated,
 		MoveStage, MoveRolledBack, MoveOutcome, MoveOutcomePending,
 		PlatformDown, PlatformUp, MemberRowWriteFailed, DepartureWriteFailed, DepartureInPeersOnly, DepartureRowMalformed,
