--- a/pkg/dispatch/monitoring.go
+++ b/pkg/dispatch/monitoring.go
@@ -19,6 +19,8 @@
 	latency   *prometheus.HistogramVec
 	// repeatedIDs counts requests with the id of an earlier one.
 	repeatedIDs prometheus.Counter
+	// foreignResponses counts responses with the id of another request.
+	foreignResponses prometheus.Counter
 }
 
 // NewMetrics returns the metrics and registers them with reg unless reg is nil.
@@ -32,12 +34,14 @@
 			Name: "corianderwood_request_answers_total", Help: "Responses to requests by kind and status."}, []string{"kind", "status"}),
 		repeatedIDs: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "corianderwood_request_ids_repeated_total", Help: "Requests of callers with the id of one that was received shortly before."}),
+		foreignResponses: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "corianderwood_responses_foreign_total", Help: "Responses of servers that belonged to another request and were not passed on."}),
 		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "corianderwood_request_seconds", Help: "Time from receiving a request to its response.",
 			Buckets: prometheus.ExponentialBuckets(0.01, 2, 10)}, []string{"kind"}),
 	}
 	if reg != nil {
-		reg.MustRegister(m.refusals, m.retries, m.responses, m.latency, m.repeatedIDs)
+		reg.MustRegister(m.refusals, m.retries, m.responses, m.latency, m.repeatedIDs, m.foreignResponses)
 	}
 	return m
 }
--- a/pkg/dispatch/responseid.go
+++ b/pkg/dispatch/responseid.go
@@ -17,6 +17,7 @@
 	if !ok || id == x.req.ID {
 		return res
 	}
+	x.dispatcher.opts.Metrics.foreignResponses.Inc()
 	x.dispatcher.log.Write(event.RequestResponseForeign, "request", x.req.ID, "received", id, "status", res.Status)
 	return call.Response{Refusal: reason.ResponseLost, Ran: reason.RanUnknown, ReachedServer: true, Load: res.Load}
 }
--- a/pkg/dispatch/responseid_test.go
+++ b/pkg/dispatch/responseid_test.go
@@ -11,7 +11,7 @@
 // Guards against a response to another request that is passed on to the caller, wherever on the
 // way the two were mixed up.
 func TestResponseToAnotherRequest(t *testing.T) {
-	d := &Dispatcher{opts: Options{Headers: call.Headers{RequestID: "X-Id"}}, log: event.NewLimitedLog(1, 1)}
+	d := &Dispatcher{opts: Options{Headers: call.Headers{RequestID: "X-Id"}, Metrics: NewMetrics(nil)}, log: event.NewLimitedLog(1, 1)}
 	for head, own := range map[string]bool{
 		"X-Id: r\r\n":                   true,
 		"A: b\r\nx-id:r\r\n":            true,
