proxy: check that a response belongs to the exchange, between nodes and where upstreams name the call

What callers saw: the response to another call. A response that was sent twice, the second time while the next call waited on the same connection, was taken for that call's response; all later ones were shifted. Outcome queries too, so that a running call could be reported as finished.

Cause: a pooled connection is checked before reuse and after the response, never in between, and no response names its request.

A request to a node now carries the number of the exchange on its connection, which is new for each exchange, also for outcome queries; the node repeats it. An upstream may repeat the call id, which is new for each attempt (TestAttemptsHaveOwnCallIDs, passes before too). A response that names another exchange breaks the exchange: its connection is closed, the outcome of a call that may run only once is queried. One without a name is accepted, and a node repeats only what it was sent, so older nodes go on working (TestNodesWithoutExchangeIDs).

--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -108,6 +108,7 @@
 		c.s.opts.Metrics.refused.WithLabelValues(hopIngress, string(a.refused.reason)).Inc()
 	}
 	delete(a.response.header, HeaderLoad)
+	delete(a.response.header, HeaderExchange)
 	removeHopByHop(a.response.header)
 	if !writeResponse(c.w, c.r.Method, a.response, c.deadline, func(int) {}) {
 		a.discard()
--- a/pkg/proxy/exchange.go
+++ b/pkg/proxy/exchange.go
@@ -19,6 +19,10 @@
 var errNoLength = errors.New("the response has neither a Content-Length nor chunked encoding, " +
 	"so that a cut would go unnoticed: send one of them")
 
+// errForeignResponse reports a response that names another exchange, for example the late
+// copy of an earlier response.
+var errForeignResponse = errors.New("the response belongs to another request")
+
 // exchangeRequest is one request to be sent over one connection.
 type exchangeRequest struct {
 	req *http.Request
@@ -39,6 +43,7 @@
 type exchange struct {
 	pool *pool
 	conn *pooledConn
+	id   exchangeID
 	resp *http.Response
 
 	stopCtx  func() bool
@@ -61,6 +66,7 @@
 func start(ctx context.Context, p *pool, c *pooledConn, er exchangeRequest) (*exchange, error) {
 	x := &exchange{pool: p, conn: c}
 	c.begin()
+	x.id = c.identify(er.req.Header)
 	x.stopCtx = context.AfterFunc(ctx, func() { closeNow(c) })
 	x.startTimers(er)
 	err := x.send(er)
@@ -133,6 +139,10 @@
 		case resp.StatusCode == http.StatusSwitchingProtocols:
 			return errUpgrade
 		case resp.StatusCode >= 200:
+			if x.id.isForeign(resp.Header) {
+				x.pool.metrics.unsolicited.WithLabelValues(x.pool.kind, foundOtherID).Inc()
+				return errForeignResponse
+			}
 			x.conn.headersDone()
 			x.resp = resp
 			if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody {
--- a/pkg/proxy/headers.go
+++ b/pkg/proxy/headers.go
@@ -11,14 +11,16 @@
 )
 
 // Headers defined by this project, in canonical form. The first five are set on requests,
-// the others on responses. Callers may set only HeaderDeadline and HeaderDepth, upstreams
-// only HeaderRetry; a service that calls the mesh while it serves a call passes them on.
+// HeaderExchange on both, the others on responses. Callers may set only HeaderDeadline and
+// HeaderDepth, upstreams only HeaderRetry; a service that calls the mesh while it serves a
+// call passes them on. An upstream may repeat HeaderCallID, and its responses are then checked.
 const (
 	HeaderCallID     = "Corianderwood-Call-Id"     // id of the attempt
 	HeaderTarget     = "Corianderwood-Target"      // Target that must serve the call
 	HeaderDeadline   = "Corianderwood-Deadline-Ms" // remaining time in milliseconds
 	HeaderDepth      = "Corianderwood-Depth"       // number of calls in the chain so far
 	HeaderRepeatable = "Corianderwood-Repeatable"  // whether the call may run more than once
+	HeaderExchange   = "Corianderwood-Exchange-Id" // between nodes only: number of the exchange on its connection, repeated in the response
 	HeaderRefused    = "Corianderwood-Refused"     // a reason.Refusal; missing if the upstream responded
 	HeaderRan        = "Corianderwood-Ran"         // a reason.Ran
 	HeaderLoad       = "Corianderwood-Load"        // between nodes only, see formatLoad
--- a/pkg/proxy/peerserver.go
+++ b/pkg/proxy/peerserver.go
@@ -109,6 +109,9 @@
 
 // ServeHTTP serves a call or an outcome query.
 func (s *PeerServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if id := r.Header[HeaderExchange]; len(id) > 0 {
+		w.Header()[HeaderExchange] = id[:1:1]
+	}
 	if len(r.Header[HeaderCallID]) > 0 {
 		s.serveCall(w, r)
 		return
--- a/pkg/proxy/pool.go
+++ b/pkg/proxy/pool.go
@@ -85,6 +85,7 @@
 	}
 	c := newPooledConn(conn, tcp)
 	if p.kind == kindPeer {
+		c.toNode = true
 		c.maxHeader += peerHeaderSlack
 	}
 	p.mu.Lock()
--- a/pkg/proxy/pooledconn.go
+++ b/pkg/proxy/pooledconn.go
@@ -5,6 +5,8 @@
 	"errors"
 	"math"
 	"net"
+	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 )
@@ -20,6 +22,9 @@
 	br  *bufio.Reader
 	bw  *bufio.Writer
 
+	toNode    bool   // the server is a node, which repeats HeaderExchange
+	exchanges uint64 // exchanges begun with a node
+
 	opened    time.Time
 	idleSince time.Time // end of the last complete exchange
 	reused    bool
@@ -47,6 +52,17 @@
 	c.writeStarted.Store(false)
 }
 
+// identify returns the id of a new exchange and adds it to a request to a node.
+func (c *pooledConn) identify(request http.Header) exchangeID {
+	if !c.toNode {
+		return exchangeID{HeaderCallID, request.Get(HeaderCallID)}
+	}
+	c.exchanges++
+	id := exchangeID{HeaderExchange, strconv.FormatUint(c.exchanges, 10)}
+	setHeader(request, id.header, id.value)
+	return id
+}
+
 func (c *pooledConn) headersDone() { c.headerLeft = math.MaxInt64 }
 
 func (c *pooledConn) Read(p []byte) (int, error) {
