proxy: reuse no connection to a server that sends bytes outside of an exchange

What callers saw: with an upstream that sends each response twice and repeats no call id, most calls got the response to another one, for as long as it went on. Where responses name their exchange, calls were refused as possibly run instead.

Cause: bytes on an idle connection or behind a response closed that one connection, and the next one to the same server was reused as before, without a log line or metric.

But bytes outside of an exchange prove that a server sends them: from then on each connection to it serves one request, until none were seen for 10 minutes. They are looked for before reuse, behind each response, every second on idle connections, and in responses that name another exchange; the end of a connection does not count, and up to 4 used connections stay open to see whether it goes on. Events 423 and 424, counter corianderwood_proxy_unsolicited_responses_total.

--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -37,6 +37,8 @@
 	UpstreamIDRepeated        = Event{420, Info, "idle connection to the upstream has carried the id of this request before"}
 	UpstreamResponseSkipped   = Event{421, Warning, "upstream sent a response that is not the one to the request in progress; it is skipped"}
 	UpstreamResponseWithoutID = Event{422, Warning, "response of the upstream has no request id; the connection is closed after it"}
+	ConnectionsNotReused      = Event{423, Warning, "server sent bytes outside of an exchange, or the response to another request; each connection to it serves one request for a while"}
+	ConnectionsReused         = Event{424, Info, "connections to the server are reused again"}
 	UpstreamDraining          = Event{402, Info, "upstream is draining"}
 	UpstreamLost              = Event{403, Warning, "upstream stopped renewing its announcement"}
 	PeerUp                    = Event{303, Info, "link to a peer is up"}
@@ -85,7 +87,7 @@
 		RevisionInForce, RevisionRejected, EditAccepted, EditRefused, EditUnknown,
 		MinRevisionKnown, MinRevisionUnknown, MinRevisionNotReplicated,
 		MeshJoined, MeshJoinFailed,
-		UpstreamAnnounced, UpstreamFailing, UpstreamRestored, UpstreamLimited, UpstreamLeaving, UpstreamNoticeMalformed, UpstreamDeparted, HeartbeatUnconfirmed, UpstreamIDRepeated, UpstreamResponseSkipped, UpstreamResponseWithoutID, UpstreamDraining, UpstreamLost, HTTPServer,
+		UpstreamAnnounced, UpstreamFailing, UpstreamRestored, UpstreamLimited, UpstreamLeaving, UpstreamNoticeMalformed, UpstreamDeparted, HeartbeatUnconfirmed, UpstreamIDRepeated, UpstreamResponseSkipped, UpstreamResponseWithoutID, ConnectionsNotReused, ConnectionsReused, UpstreamDraining, UpstreamLost, HTTPServer,
 		SettingsReloaded, SettingsRejected, LogLinesDropped, AcceptFailed, PanicContained, SettingsUnknown,
 		PeerUp, PeerDown, PeerSilent, PeerFrameMalformed, PeerRowsApplied, PeerDiscovered, FeedSubscribed, FeedUnsubscribed, HeartbeatMalformed, HeartbeatOutdated,
 		RequestMalformed, RequestNoRoute, RequestAttempt, RequestRefused, RequestFailed, RequestIDRepeated, RequestResponseForeign, UpstreamUnreachable,
--- a/pkg/proxy/copiedresponse_test.go
+++ b/pkg/proxy/copiedresponse_test.go
@@ -113,6 +113,9 @@
 			m.copyPeerResponses(m.nodes[0])
 			foreign, refused := m.sendInTurn(method, "/plain", copiedRequests)
 			t.Logf("%d of %d calls were refused", refused, copiedRequests)
+			if refused > 1 {
+				t.Errorf("%d calls were refused, want at most the first that met a copy", refused)
+			}
 			if len(foreign) > 0 {
 				t.Errorf("%d of %d calls got the response to another one: %v", len(foreign), copiedRequests, foreign)
 			}
@@ -162,6 +165,9 @@
 			m.copyUpstreamResponses(m.nodes[0])
 			foreign, refused := m.sendInTurn(tc.method, tc.path, copiedRequests)
 			t.Logf("%d of %d calls were refused", refused, copiedRequests)
+			if refused > 1 {
+				t.Errorf("%d calls were refused, want at most the first that met a copy", refused)
+			}
 			if len(foreign) > 0 {
 				t.Errorf("%d of %d calls got the response to another one: %v", len(foreign), copiedRequests, foreign)
 			}
@@ -169,6 +175,30 @@
 	}
 }
 
+// Guards against late copies of responses that go on reaching other calls, of an upstream whose
+// responses name no request. The first copies can't be told from responses; once one was found
+// outside of an exchange, all later calls must get their own response.
+func TestCopiedResponsesWithoutID(t *testing.T) {
+	const found = 5 // calls until the pause, in which a copy arrives on an idle connection
+	for _, tc := range []struct{ method, path string }{
+		{"GET", "/plain"}, {"POST", "/plain"}, {"HEAD", "/plain"}, {"DELETE", "/empty"}, {"GET", "/unmodified"},
+		{"GET", "/chunked"}, {"POST", "/chunked"}, {"GET", "/interim"}, {"POST", "/upload"},
+	} {
+		t.Run(tc.method+tc.path, func(t *testing.T) {
+			m := newMesh(t, defaultService(), http.HandlerFunc(answerSlowly))
+			m.copyUpstreamResponses(m.nodes[0])
+			foreign, refused := m.sendInTurn(tc.method, tc.path, found)
+			t.Logf("%d of %d calls got the response to another one: %v", len(foreign), copiedRequests, foreign)
+			if len(foreign) > 0 && foreign[len(foreign)-1] >= found {
+				t.Errorf("calls from number %d on got the response to another one: %v", found, foreign)
+			}
+			if refused > 0 {
+				t.Errorf("%d calls were refused", refused)
+			}
+		})
+	}
+}
+
 // Guards against a call id that is sent twice: an upstream that repeats it names its exchange
 // only if each attempt has an id of its own.
 func TestAttemptsHaveOwnCallIDs(t *testing.T) {
--- a/pkg/proxy/exchange.go
+++ b/pkg/proxy/exchange.go
@@ -140,7 +140,7 @@
 			return errUpgrade
 		case resp.StatusCode >= 200:
 			if x.id.isForeign(resp.Header) {
-				x.pool.metrics.unsolicited.WithLabelValues(x.pool.kind, foundOtherID).Inc()
+				x.pool.foundUnsolicited(foundOtherID)
 				return errForeignResponse
 			}
 			x.conn.headersDone()
@@ -190,6 +190,9 @@
 	}
 	live := x.stopCtx()
 	x.stopTimers()
+	if complete && x.conn.br.Buffered() > 0 {
+		x.pool.foundUnsolicited(foundAfterResponse)
+	}
 	if !complete || !live || x.resp.Close || x.conn.br.Buffered() > 0 {
 		x.release()
 		x.pool.discard(x.conn)
--- a/pkg/proxy/monitoring.go
+++ b/pkg/proxy/monitoring.go
@@ -36,7 +36,9 @@
 
 // Values of the found label of unsolicited responses.
 const (
-	foundOtherID = "other-id" // the response names another exchange
+	foundOtherID       = "other-id"       // the response names another exchange
+	foundAfterResponse = "after-response" // bytes followed a complete response
+	foundIdle          = "idle"           // bytes were read on an idle connection
 )
 
 // Results of outcome queries.
--- a/pkg/proxy/pool.go
+++ b/pkg/proxy/pool.go
@@ -6,6 +6,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"corianderwood.example/corianderwood/pkg/event"
 )
 
 // pool holds the connections to one address. mu guards its state.
@@ -18,6 +20,7 @@
 	mu     sync.Mutex
 	idle   []*pooledConn        // the most recently used last
 	active map[*pooledConn]bool // connections in use
+	reuse  reuseGuard
 	closed bool
 }
 
@@ -38,7 +41,7 @@
 	for {
 		p.mu.Lock()
 		n := len(p.idle)
-		if n == 0 || time.Since(p.idle[n-1].idleSince) > maxAge {
+		if n == 0 || p.reuse.forbidden() || time.Since(p.idle[n-1].idleSince) > maxAge {
 			p.mu.Unlock()
 			return nil
 		}
@@ -47,11 +50,31 @@
 		p.idle = p.idle[:n-1]
 		p.active[c] = true
 		p.mu.Unlock()
-		if !c.notReusable.Load() && isOpenAndIdle(c.tcp) {
+		if !c.notReusable.Load() && c.isQuiet() {
 			c.reused = true
 			return c
 		}
-		p.discard(c)
+		p.dropIdle(c)
+	}
+}
+
+// dropIdle closes a connection that was idle and is not quiet or must not be reused.
+func (p *pool) dropIdle(c *pooledConn) {
+	if !c.notReusable.Load() && c.hasUnsolicited() {
+		p.foundUnsolicited(foundIdle)
+	}
+	p.discard(c)
+}
+
+// foundUnsolicited ends the reuse of connections after the server sent bytes outside of an
+// exchange, or the response to another request.
+func (p *pool) foundUnsolicited(found string) {
+	p.metrics.unsolicited.WithLabelValues(p.kind, found).Inc()
+	p.mu.Lock()
+	changed := p.reuse.forbid(time.Now())
+	p.mu.Unlock()
+	if changed {
+		event.ConnectionsNotReused.Log("address", p.addr, "kind", p.kind, "found", found, "for", noReuseTime)
 	}
 }
 
@@ -100,7 +123,7 @@
 	c.idleSince = time.Now()
 	p.mu.Lock()
 	delete(p.active, c)
-	if p.closed || c.notReusable.Load() || len(p.idle) >= maxIdlePerAddress {
+	if p.closed || c.notReusable.Load() || len(p.idle) >= p.reuse.maxIdle() {
 		p.mu.Unlock()
 		c.Close()
 		return
@@ -151,22 +174,44 @@
 // block on a stalled connection.
 func closeNow(c *pooledConn) { c.tcp.Close() }
 
-// sweep closes the connections idle for longer than idleTimeout and reports whether
-// the pool is empty.
-func (p *pool) sweep(now time.Time) bool {
+// sweep closes the idle connections that are not quiet and those idle for longer than
+// idleTimeout, and allows the reuse of connections again once it is due.
+func (p *pool) sweep(now time.Time) {
+	var noisy, expired []*pooledConn
 	p.mu.Lock()
-	expired := 0
-	for expired < len(p.idle) && now.Sub(p.idle[expired].idleSince) > idleTimeout {
-		expired++
+	rest := p.idle[:0]
+	for _, c := range p.idle {
+		switch {
+		case !c.isQuiet():
+			noisy = append(noisy, c)
+		case now.Sub(c.idleSince) > idleTimeout:
+			expired = append(expired, c)
+		default:
+			rest = append(rest, c)
+		}
 	}
-	old := append([]*pooledConn(nil), p.idle[:expired]...)
-	p.idle = append(p.idle[:0], p.idle[expired:]...)
-	empty := len(p.idle) == 0 && len(p.active) == 0
+	clear(p.idle[len(rest):])
+	p.idle = rest
 	p.mu.Unlock()
-	for _, c := range old {
+	for _, c := range noisy {
+		p.dropIdle(c)
+	}
+	for _, c := range expired {
 		c.Close()
 	}
-	return empty
+	p.mu.Lock()
+	changed := p.reuse.lift(now)
+	p.mu.Unlock()
+	if changed {
+		event.ConnectionsReused.Log("address", p.addr, "kind", p.kind)
+	}
+}
+
+// unused reports whether the pool holds no connection and no knowledge of the server.
+func (p *pool) unused() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle) == 0 && len(p.active) == 0 && !p.reuse.forbidden()
 }
 
 // close closes the idle connections. Those in use are closed when they are returned.
--- /dev/null
+++ b/pkg/proxy/poolreuse_test.go
@@ -0,0 +1,159 @@
+package proxy
+
+import (
+	"bufio"
+	"crypto/tls"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/testutil"
+)
+
+// reuseTest is a pool whose server runs a script after each response.
+type reuseTest struct {
+	t       *testing.T
+	metrics *Metrics
+	pools   *pools
+	pool    *pool
+}
+
+// newReuseTest starts a server, with TLS if secure is set, that responds to each request with
+// its path. It calls script with the response to write it.
+func newReuseTest(t *testing.T, secure bool, script func(conn net.Conn, response string)) *reuseTest {
+	l := listen(t)
+	kind := kindUpstream
+	var client *tls.Config
+	if secure {
+		var server *tls.Config
+		server, client = meshTLS(t)
+		l, kind = tls.NewListener(l, server), kindPeer
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				for r := bufio.NewReader(conn); ; {
+					req, _ := readRequest(r)
+					if req == nil {
+						return
+					}
+					body := req.URL.Path + strings.Repeat("x", 7000)
+					script(conn, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
+				}
+			}()
+		}
+	}()
+	m := NewMetrics(nil)
+	p := newPools(kind, client, m)
+	t.Cleanup(p.close)
+	return &reuseTest{t, m, p, p.of(l.Addr().String())}
+}
+
+// send sends one request over a connection of the pool and fails the test unless it gets its
+// own response.
+func (r *reuseTest) send(path string) {
+	r.t.Helper()
+	conn, err := r.pool.get(r.t.Context(), idleTimeout)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	req := &http.Request{Method: "GET", URL: &url.URL{Path: path}, Host: "x", Header: http.Header{}}
+	x, err := start(r.t.Context(), r.pool, conn, exchangeRequest{req: req})
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	got, err := readResponse(x, true)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	if answered, _, _ := strings.Cut(string(got.body), "x"); answered != path {
+		r.t.Errorf("request %s got the response to %s", path, answered)
+	}
+}
+
+// state returns the number of idle connections and whether their reuse is forbidden.
+func (r *reuseTest) state() (idle int, forbidden bool) {
+	r.pool.mu.Lock()
+	defer r.pool.mu.Unlock()
+	return len(r.pool.idle), r.pool.reuse.forbidden()
+}
+
+func (r *reuseTest) opened() float64 {
+	return testutil.ToFloat64(r.metrics.opened.WithLabelValues(r.pool.kind))
+}
+
+func (r *reuseTest) unsolicited(found string) float64 {
+	return testutil.ToFloat64(r.metrics.unsolicited.WithLabelValues(r.pool.kind, found))
+}
+
+// Guards against copies that are found only when their connection is used again, and against
+// a pool that loses what it knows of the server or never reuses its connections again.
+func TestIdleConnectionsAreWatched(t *testing.T) {
+	for _, secure := range []bool{false, true} {
+		r := newReuseTest(t, secure, func(conn net.Conn, response string) {
+			_, _ = io.WriteString(conn, response)
+			time.Sleep(20 * time.Millisecond)
+			_, _ = io.WriteString(conn, response)
+		})
+		r.send("/1")
+		time.Sleep(60 * time.Millisecond)
+		r.pools.sweep(time.Now())
+		if r.unsolicited(foundIdle) != 1 || r.pools.of(r.pool.addr) != r.pool {
+			t.Fatalf("TLS %v: %v copies found, want 1, in the same pool", secure, r.unsolicited(foundIdle))
+		}
+		for i := range maxWatchedPerAddress + 2 {
+			r.send(fmt.Sprintf("/during-%d", i))
+		}
+		if idle, _ := r.state(); idle != maxWatchedPerAddress {
+			t.Errorf("TLS %v: %d connections are watched, want %d", secure, idle, maxWatchedPerAddress)
+		}
+		time.Sleep(60 * time.Millisecond)
+		last := time.Now()
+		r.pools.sweep(last)
+		if got := r.unsolicited(foundIdle); got != 1+maxWatchedPerAddress {
+			t.Errorf("TLS %v: %v copies found, want %d", secure, got, 1+maxWatchedPerAddress)
+		}
+		r.pools.sweep(last.Add(noReuseTime - time.Second))
+		if _, forbidden := r.state(); !forbidden {
+			t.Errorf("TLS %v: connections are reused after less than %v", secure, noReuseTime)
+		}
+		r.pools.sweep(last.Add(noReuseTime + time.Second))
+		r.send("/after")
+		if r.pool.takeIdle(idleTimeout) == nil {
+			t.Errorf("TLS %v: connections are not reused after %v", secure, noReuseTime)
+		}
+	}
+}
+
+// Guards against a closed idle connection that counts as a copy. The end of TLS shows as
+// bytes on the socket.
+func TestClosedIdleConnectionIsNoCopy(t *testing.T) {
+	for _, secure := range []bool{false, true} {
+		r := newReuseTest(t, secure, func(conn net.Conn, response string) {
+			_, _ = io.WriteString(conn, response)
+			time.Sleep(20 * time.Millisecond)
+			conn.Close()
+		})
+		for i := range 4 {
+			r.send(fmt.Sprintf("/%d", i))
+			time.Sleep(60 * time.Millisecond)
+			if i%2 == 1 {
+				r.pools.sweep(time.Now())
+			}
+		}
+		if _, forbidden := r.state(); r.opened() != 4 || r.unsolicited(foundIdle) != 0 || forbidden {
+			t.Errorf("TLS %v: %v connections, %v copies, want 4 and none", secure, r.opened(), r.unsolicited(foundIdle))
+		}
+	}
+}
--- a/pkg/proxy/pools.go
+++ b/pkg/proxy/pools.go
@@ -2,7 +2,9 @@
 
 import (
 	"crypto/tls"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -70,15 +72,18 @@
 	}
 }
 
-// sweep closes connections idle for longer than idleTimeout and removes empty pools.
+// sweep sweeps all pools and removes the unused ones. The map is not locked during the sweep,
+// because every call needs it.
 func (p *pools) sweep(now time.Time) {
+	p.mu.RLock()
+	all := slices.Collect(maps.Values(p.byAddr))
+	p.mu.RUnlock()
+	for _, one := range all {
+		one.sweep(now)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for addr, one := range p.byAddr {
-		if one.sweep(now) {
-			delete(p.byAddr, addr)
-		}
-	}
+	maps.DeleteFunc(p.byAddr, func(_ string, one *pool) bool { return one.unused() })
 }
 
 func (p *pools) close() {
--- a/pkg/proxy/tunables.go
+++ b/pkg/proxy/tunables.go
@@ -61,8 +61,18 @@
 	// idleTimeout is how long a pooled connection stays open unused. It is below
 	// serverIdleTimeout, so that the client side closes first.
 	idleTimeout = 30 * time.Second
-	// sweepInterval is the period at which pools close connections idle for idleTimeout.
-	sweepInterval = 5 * time.Second
+	// sweepInterval is the period at which pools check their idle connections, and close those
+	// idle for idleTimeout.
+	sweepInterval = time.Second
+	// noReuseTime is how long connections to an address are not reused after its server sent
+	// bytes outside of an exchange.
+	noReuseTime = 10 * time.Minute
+	// maxWatchedPerAddress bounds the idle connections that are kept meanwhile to see whether the
+	// server still does so. It is small because they count against the server's connections.
+	maxWatchedPerAddress = 4
+	// unreadDataTimeout is how long a connection that has data on its socket is read to tell
+	// bytes of the server from the end of TLS.
+	unreadDataTimeout = time.Millisecond
 	// dialTimeout bounds the opening of a connection, including the TLS handshake.
 	dialTimeout = time.Second
 
