proxy: find bytes that TLS has read from an idle connection already

What callers saw: the response to another call, where a node sends a copy right behind a response and does not name its exchange (an older node).

Cause: before reuse only the socket is checked. TLS reads what the socket holds, so a record behind the one with the response may be in its memory, and shows neither there nor in the HTTP reader.

--- a/pkg/proxy/pooledconn.go
+++ b/pkg/proxy/pooledconn.go
@@ -24,6 +24,8 @@
 
 	toNode    bool   // the server is a node, which repeats HeaderExchange
 	exchanges uint64 // exchanges begun with a node
+	// unsolicited is set once bytes of the server were found while no exchange used the connection.
+	unsolicited bool
 
 	opened    time.Time
 	idleSince time.Time // end of the last complete exchange
--- a/pkg/proxy/poolreuse_test.go
+++ b/pkg/proxy/poolreuse_test.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"net/url"
-	"strings"
 	"testing"
 	"time"
 
@@ -28,11 +27,10 @@
 func newReuseTest(t *testing.T, secure bool, script func(conn net.Conn, response string)) *reuseTest {
 	l := listen(t)
 	kind := kindUpstream
-	var client *tls.Config
+	var server, client *tls.Config
 	if secure {
-		var server *tls.Config
+		kind = kindPeer
 		server, client = meshTLS(t)
-		l, kind = tls.NewListener(l, server), kindPeer
 	}
 	t.Cleanup(func() { l.Close() })
 	go func() {
@@ -41,6 +39,9 @@
 			if err != nil {
 				return
 			}
+			if secure {
+				conn = tls.Server(&corkedConn{Conn: conn}, server)
+			}
 			go func() {
 				defer conn.Close()
 				for r := bufio.NewReader(conn); ; {
@@ -48,7 +49,7 @@
 					if req == nil {
 						return
 					}
-					body := req.URL.Path + strings.Repeat("x", 7000)
+					body := req.URL.Path
 					script(conn, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
 				}
 			}()
@@ -77,8 +78,8 @@
 	if err != nil {
 		r.t.Fatal(err)
 	}
-	if answered, _, _ := strings.Cut(string(got.body), "x"); answered != path {
-		r.t.Errorf("request %s got the response to %s", path, answered)
+	if string(got.body) != path {
+		r.t.Errorf("request %s got the response to %s", path, got.body)
 	}
 }
 
@@ -97,6 +98,36 @@
 	return testutil.ToFloat64(r.metrics.unsolicited.WithLabelValues(r.pool.kind, found))
 }
 
+// writeTwice sends a response and its copy at once, with TLS as two records.
+func writeTwice(conn net.Conn, response string) {
+	if secured, ok := conn.(*tls.Conn); ok {
+		corked := secured.NetConn().(*corkedConn)
+		corked.corked = true
+		defer corked.uncork()
+		_, _ = io.WriteString(conn, response)
+		_, _ = io.WriteString(conn, response)
+		return
+	}
+	_, _ = io.WriteString(conn, response+response)
+}
+
+// Guards against a copy that arrives with its response, is still in memory, and is taken for
+// the next response. TLS may have read its record, so that the socket no longer shows it.
+func TestCopyReadWithResponse(t *testing.T) {
+	for _, secure := range []bool{false, true} {
+		r := newReuseTest(t, secure, writeTwice)
+		for i := range 5 {
+			r.send(fmt.Sprintf("/%d", i))
+		}
+		if r.opened() != 5 {
+			t.Errorf("TLS %v: %v connections for 5 requests, want 5", secure, r.opened())
+		}
+		if r.unsolicited(foundIdle)+r.unsolicited(foundAfterResponse) == 0 {
+			t.Errorf("TLS %v: no copy was counted", secure)
+		}
+	}
+}
+
 // Guards against copies that are found only when their connection is used again, and against
 // a pool that loses what it knows of the server or never reuses its connections again.
 func TestIdleConnectionsAreWatched(t *testing.T) {
