proxy: let connections rest whose responses name no exchange

What callers saw: after a single late copy, every later response of that connection reached the call after its own, for as long as calls followed each other at once.

Cause: the copy takes the place of the next response, which is then taken for the one after it, and so on. Nothing comes outside of an exchange, so nothing is found.

A connection whose responses name no exchange rests for 0.1 s after 0.5 s of use without such a pause. The overdue response arrives meanwhile, is found, and ends the reuse of connections. At most a fifth more connections are open in constant use; between nodes of this version none rest.

--- a/pkg/proxy/copiedresponse_test.go
+++ b/pkg/proxy/copiedresponse_test.go
@@ -1,10 +1,12 @@
 package proxy
 
 import (
+	"bufio"
 	"crypto/tls"
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -199,6 +201,40 @@
 	}
 }
 
+// Guards against a single copy that shifts all later responses of its connection, each to the
+// call that follows its own, while calls follow each other at once.
+func TestSingleCopyShiftsResponses(t *testing.T) {
+	m := newMesh(t, defaultService(), http.HandlerFunc(echo))
+	rawUpstream(t, m.nodes[0], func(conn net.Conn, r *bufio.Reader) {
+		for first := true; ; first = false {
+			req, _ := readRequest(r)
+			if req == nil {
+				return
+			}
+			id := req.Header.Get("X-Id")
+			response := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(id), id)
+			time.Sleep(10 * time.Millisecond)
+			_, _ = io.WriteString(conn, response)
+			if first && strings.HasSuffix(id, "#0") {
+				time.Sleep(5 * time.Millisecond)
+				_, _ = io.WriteString(conn, response)
+			}
+		}
+	})
+	client := newClient(t)
+	begun, last, foreign, sent := time.Now(), time.Duration(0), 0, 0
+	for ; time.Since(begun) < 3*restAfter; sent++ {
+		id := fmt.Sprintf("call #%d", sent)
+		if got := m.do(t.Context(), client, "GET", "/x", nil, http.Header{"X-Id": {id}}); got.body != id {
+			foreign, last = foreign+1, time.Since(begun)
+		}
+	}
+	t.Logf("%d of %d calls got the response to another one, the last after %v", foreign, sent, last)
+	if last > 2*restAfter {
+		t.Errorf("calls got the response to another one until %v after the first call, want at most %v", last, 2*restAfter)
+	}
+}
+
 // Guards against a call id that is sent twice: an upstream that repeats it names its exchange
 // only if each attempt has an id of its own.
 func TestAttemptsHaveOwnCallIDs(t *testing.T) {
--- a/pkg/proxy/exchange.go
+++ b/pkg/proxy/exchange.go
@@ -143,6 +143,7 @@
 				x.pool.foundUnsolicited(foundOtherID)
 				return errForeignResponse
 			}
+			x.conn.use.named = x.id.isNamed(resp.Header)
 			x.conn.headersDone()
 			x.resp = resp
 			if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody {
--- a/pkg/proxy/exchangeid.go
+++ b/pkg/proxy/exchangeid.go
@@ -10,6 +10,8 @@
 // isForeign reports whether a response names another exchange. A response that names none is
 // accepted, because older nodes and most upstreams repeat nothing.
 func (id exchangeID) isForeign(response http.Header) bool {
-	named := response[id.header]
-	return len(named) > 0 && named[0] != id.value
+	return id.isNamed(response) && response[id.header][0] != id.value
 }
+
+// isNamed reports whether a response names an exchange.
+func (id exchangeID) isNamed(response http.Header) bool { return len(response[id.header]) > 0 }
--- a/pkg/proxy/pool.go
+++ b/pkg/proxy/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,17 +40,10 @@
 
 func (p *pool) takeIdle(maxAge time.Duration) *pooledConn {
 	for {
-		p.mu.Lock()
-		n := len(p.idle)
-		if n == 0 || p.reuse.forbidden() || time.Since(p.idle[n-1].idleSince) > maxAge {
-			p.mu.Unlock()
+		c := p.chooseIdle(time.Now(), maxAge)
+		if c == nil {
 			return nil
 		}
-		c := p.idle[n-1]
-		p.idle[n-1] = nil
-		p.idle = p.idle[:n-1]
-		p.active[c] = true
-		p.mu.Unlock()
 		if !c.notReusable.Load() && c.isQuiet() {
 			c.reused = true
 			return c
@@ -58,6 +52,28 @@
 	}
 }
 
+// chooseIdle makes the most recently used idle connection that does not rest an active one.
+func (p *pool) chooseIdle(now time.Time, maxAge time.Duration) *pooledConn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.reuse.forbidden() {
+		return nil
+	}
+	for i, c := range slices.Backward(p.idle) {
+		if now.Sub(c.idleSince) > maxAge {
+			return nil
+		}
+		if c.use.isResting(now, c.idleSince) && c.isQuiet() {
+			continue // one that is not quiet is dropped by takeIdle
+		}
+		c.use.taken(now, c.idleSince)
+		p.idle = slices.Delete(p.idle, i, i+1)
+		p.active[c] = true
+		return c
+	}
+	return nil
+}
+
 // dropIdle closes a connection that was idle and is not quiet or must not be reused.
 func (p *pool) dropIdle(c *pooledConn) {
 	if !c.notReusable.Load() && c.hasUnsolicited() {
--- a/pkg/proxy/pooledconn.go
+++ b/pkg/proxy/pooledconn.go
@@ -30,6 +30,7 @@
 	opened    time.Time
 	idleSince time.Time // end of the last complete exchange
 	reused    bool
+	use       restSchedule
 
 	maxHeader    int64        // bound of response headers in bytes
 	headerLeft   int64        // response header bytes that may still be read
@@ -41,6 +42,7 @@
 
 func newPooledConn(conn, tcp net.Conn) *pooledConn {
 	c := &pooledConn{Conn: conn, tcp: tcp, opened: time.Now(), maxHeader: MaxHeaderBytes}
+	c.use.since = c.opened
 	c.br = bufio.NewReaderSize(c, 4<<10)
 	c.bw = bufio.NewWriterSize(c, 8<<10)
 	return c
--- a/pkg/proxy/tunables.go
+++ b/pkg/proxy/tunables.go
@@ -70,6 +70,11 @@
 	// maxWatchedPerAddress bounds the idle connections that are kept meanwhile to see whether the
 	// server still does so. It is small because they count against the server's connections.
 	maxWatchedPerAddress = 4
+	// restAfter is how long a connection whose responses name no exchange is used until it rests
+	// for restTime, which is longer than most upstreams take to respond. A rest costs at most one
+	// new connection, since connections return from it.
+	restAfter = 500 * time.Millisecond
+	restTime  = 100 * time.Millisecond
 	// unreadDataTimeout is how long a connection that has data on its socket is read to tell
 	// bytes of the server from the end of TLS.
 	unreadDataTimeout = time.Millisecond
