proxy: wait in tests for what a server sends or closes

The tests of reused connections slept for 60 ms until a copy or a close that comes after 20 ms; on a busy machine it may come later. They wait for it now, for 3 s at most, and the pause in which a copy arrives is five times its largest delay.

--- a/pkg/proxy/copiedresponse_test.go
+++ b/pkg/proxy/copiedresponse_test.go
@@ -79,7 +79,7 @@
 	client := newClient(m.t)
 	for i := range copiedRequests {
 		if i == pause {
-			time.Sleep(2 * copyDelay)
+			time.Sleep(5 * copyDelay)
 		}
 		id := fmt.Sprint(method, path, i)
 		var body io.Reader = strings.NewReader("")
--- a/pkg/proxy/poolreuse_test.go
+++ b/pkg/proxy/poolreuse_test.go
@@ -98,6 +98,35 @@
 	return testutil.ToFloat64(r.metrics.unsolicited.WithLabelValues(r.pool.kind, found))
 }
 
+// noticeTimeout is the longest time to wait for what the server sends or closes.
+const noticeTimeout = 3 * time.Second
+
+// sweepUntilFound sweeps until the given number of copies was found on idle connections, and
+// returns the time of the last sweep.
+func (r *reuseTest) sweepUntilFound(copies float64) time.Time {
+	end := time.Now().Add(noticeTimeout)
+	for {
+		time.Sleep(10 * time.Millisecond)
+		now := time.Now()
+		r.pools.sweep(now)
+		if r.unsolicited(foundIdle) >= copies || now.After(end) {
+			return now
+		}
+	}
+}
+
+// awaitClose waits until the server has closed the idle connection.
+func (r *reuseTest) awaitClose() {
+	for end := time.Now().Add(noticeTimeout); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		r.pool.mu.Lock()
+		quiet := len(r.pool.idle) > 0 && r.pool.idle[0].isQuiet()
+		r.pool.mu.Unlock()
+		if !quiet {
+			return
+		}
+	}
+}
+
 // writeTwice sends a response and its copy at once, with TLS as two records.
 func writeTwice(conn net.Conn, response string) {
 	if secured, ok := conn.(*tls.Conn); ok {
@@ -138,8 +167,7 @@
 			_, _ = io.WriteString(conn, response)
 		})
 		r.send("/1")
-		time.Sleep(60 * time.Millisecond)
-		r.pools.sweep(time.Now())
+		r.sweepUntilFound(1)
 		if r.unsolicited(foundIdle) != 1 || r.pools.of(r.pool.addr) != r.pool {
 			t.Fatalf("TLS %v: %v copies found, want 1, in the same pool", secure, r.unsolicited(foundIdle))
 		}
@@ -149,9 +177,7 @@
 		if idle, _ := r.state(); idle != maxWatchedPerAddress {
 			t.Errorf("TLS %v: %d connections are watched, want %d", secure, idle, maxWatchedPerAddress)
 		}
-		time.Sleep(60 * time.Millisecond)
-		last := time.Now()
-		r.pools.sweep(last)
+		last := r.sweepUntilFound(1 + maxWatchedPerAddress)
 		if got := r.unsolicited(foundIdle); got != 1+maxWatchedPerAddress {
 			t.Errorf("TLS %v: %v copies found, want %d", secure, got, 1+maxWatchedPerAddress)
 		}
@@ -178,7 +204,7 @@
 		})
 		for i := range 4 {
 			r.send(fmt.Sprintf("/%d", i))
-			time.Sleep(60 * time.Millisecond)
+			r.awaitClose()
 			if i%2 == 1 {
 				r.pools.sweep(time.Now())
 			}
