--- a/pkg/proxy/pooledconn.go
+++ b/pkg/proxy/pooledconn.go
@@ -5,6 +5,8 @@
 	"errors"
 	"math"
 	"net"
+	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 )
@@ -20,9 +22,15 @@
 	br  *bufio.Reader
 	bw  *bufio.Writer
 
+	toNode    bool   // the server is a node, which repeats HeaderExchange
+	exchanges uint64 // exchanges begun with a node
+	// unsolicited is set once bytes of the server were found while no exchange used the connection.
+	unsolicited bool
+
 	opened    time.Time
 	idleSince time.Time // end of the last complete exchange
 	reused    bool
+	use       restSchedule
 
 	maxHeader    int64        // bound of response headers in bytes
 	headerLeft   int64        // response header bytes that may still be read
@@ -34,6 +42,7 @@
 
 func newPooledConn(conn, tcp net.Conn) *pooledConn {
 	c := &pooledConn{Conn: conn, tcp: tcp, opened: time.Now(), maxHeader: MaxHeaderBytes}
+	c.use.since = c.opened
 	c.br = bufio.NewReaderSize(c, 4<<10)
 	c.bw = bufio.NewWriterSize(c, 8<<10)
 	return c
@@ -47,6 +56,17 @@
 	c.writeStarted.Store(false)
 }
 
+// identify returns the id of a new exchange and adds it to a request to a node.
+func (c *pooledConn) identify(request http.Header) exchangeID {
+	if !c.toNode {
+		return exchangeID{HeaderCallID, request.Get(HeaderCallID)}
+	}
+	c.exchanges++
+	id := exchangeID{HeaderExchange, strconv.FormatUint(c.exchanges, 10)}
+	setHeader(request, id.header, id.value)
+	return id
+}
+
 func (c *pooledConn) headersDone() { c.headerLeft = math.MaxInt64 }
 
 func (c *pooledConn) Read(p []byte) (int, error) {
