--- a/pkg/backend/repeatedid_test.go
+++ b/pkg/backend/repeatedid_test.go
@@ -33,22 +33,8 @@
 
 func (s *repeatingServer) start(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
 	s.requests = make(map[string]int)
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(conn)
-		}
-	}()
-	return l.Addr().String()
+	return listen(t, s.serve)
 }
 
 func (s *repeatingServer) serve(conn net.Conn) {
--- a/pkg/backend/secondanswer_test.go
+++ b/pkg/backend/secondanswer_test.go
@@ -27,21 +27,7 @@
 
 func (s *copyingServer) start(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(conn)
-		}
-	}()
-	return l.Addr().String()
+	return listen(t, s.serve)
 }
 
 func (s *copyingServer) serve(conn net.Conn) {
--- a/pkg/backend/unidentified_test.go
+++ b/pkg/backend/unidentified_test.go
@@ -17,12 +17,7 @@
 // After a delay it sends a further response, which has no id, on the same connection.
 func startTrailingServer(t *testing.T, takes, delay time.Duration, further string) string {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	serve := func(conn net.Conn) {
+	return listen(t, func(conn net.Conn) {
 		defer conn.Close()
 		reader := bufio.NewReader(conn)
 		for {
@@ -35,17 +30,7 @@
 			_, _ = conn.Write([]byte(ok(id, id)))
 			time.AfterFunc(delay, func() { _, _ = conn.Write([]byte(further)) })
 		}
-	}
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serve(conn)
-		}
-	}()
-	return l.Addr().String()
+	})
 }
 
 // Guards against a late response without an id that is taken for the response to the next
