dispatch: keep an id that comes again after it was forgotten

Found by reading the diff.

Cause: the place in the ring that the forgotten id still had was given up after the id had been added again, which removed it.

TestForgottenIDComesAgain failed before ('an id that came again is not kept'); it passes.

--- a/pkg/dispatch/recentids.go
+++ b/pkg/dispatch/recentids.go
@@ -31,14 +31,14 @@
 	if first, ok := r.first[hash]; ok {
 		return now.Sub(first), true
 	}
-	r.first[hash] = now
 	if len(r.order) < r.capacity {
 		r.order = append(r.order, hash)
-		return 0, false
+	} else {
+		delete(r.first, r.order[r.next]) // could be the same id, forgotten since
+		r.order[r.next] = hash
+		r.next = (r.next + 1) % r.capacity
 	}
-	delete(r.first, r.order[r.next])
-	r.order[r.next] = hash
-	r.next = (r.next + 1) % r.capacity
+	r.first[hash] = now
 	return 0, false
 }
 
--- a/pkg/dispatch/recentids_test.go
+++ b/pkg/dispatch/recentids_test.go
@@ -30,3 +30,20 @@
 		t.Error("an id is kept for longer than the bound says")
 	}
 }
+
+// Guards against an id that was forgotten, comes again, and is lost with its first place.
+func TestForgottenIDComesAgain(t *testing.T) {
+	const capacity = 8
+	r, now := newRecentIDs(capacity), time.Now()
+	r.receive(now, "r")
+	r.forget("r")
+	for i := range capacity - 1 {
+		r.receive(now, fmt.Sprint("other-", i))
+	}
+	if _, repeated := r.receive(now, "r"); repeated {
+		t.Error("a forgotten id counts as repeated")
+	}
+	if _, repeated := r.receive(now, "r"); !repeated {
+		t.Error("an id that came again is not kept")
+	}
+}
