dispatch: make the test of a repeated id in progress fail without the check

TestRepeatedIDRunsTwiceAtOnce also passed on, the version before the check: its server had no outcome for a second request and panicked, which was answered 502 as well. The server has one now, and the test asks that it gets one request only.

--- a/pkg/dispatch/repeatedid_test.go
+++ b/pkg/dispatch/repeatedid_test.go
@@ -74,11 +74,11 @@
 // Guards against the same while the first request is in progress.
 func TestRepeatedIDRunsTwiceAtOnce(t *testing.T) {
 	started, end := make(chan struct{}), make(chan struct{})
-	s := &scriptedServer{outcomes: []func() call.Response{func() call.Response {
-		close(started)
-		<-end
-		return call.Response{Status: http.StatusOK, Ran: reason.RanYes, ReachedServer: true}
-	}}}
+	served := call.Response{Status: http.StatusOK, Ran: reason.RanYes, ReachedServer: true}
+	s := &scriptedServer{outcomes: []func() call.Response{
+		func() call.Response { close(started); <-end; return served },
+		func() call.Response { return served },
+	}}
 	d := newTestDispatcher(t, routing.Unsafe, s)
 	first := make(chan int)
 	go func() { first <- serveID(t.Context(), d, "r") }()
@@ -90,6 +90,9 @@
 	if status := <-first; status != http.StatusOK {
 		t.Errorf("first receipt: status %d, want 200", status)
 	}
+	if s.requests != 1 {
+		t.Errorf("the server got %d requests, want 1", s.requests)
+	}
 }
 
 // newTestDispatcher returns a dispatcher with one route and one server.
