backend: tell responses within which another one begins, and bytes behind a response

pkg/framing reads the responses of a connection and finds the heads of other responses within them, whatever tells their length. Event 426 and corianderwood_server_responses_interrupted_total{framing} name the offset, the other response's status and its id; corianderwood_server_bytes_after_response_total counts the closed connections. No response is treated otherwise than before.

--- a/pkg/backend/client.go
+++ b/pkg/backend/client.go
@@ -1,7 +1,6 @@
 package backend
 
 import (
-	"bufio"
 	"context"
 	"net/http"
 	"slices"
@@ -157,8 +156,7 @@
 	c.opened++
 	c.mu.Unlock()
 	c.opts.Metrics.opened.Inc()
-	input := boundedio.NewLimitedReader(inner)
-	return &connection{Conn: inner, input: input, reader: bufio.NewReaderSize(input, readBuffer), keepAlive: defaultKeepAlive}, nil
+	return newConnection(inner, c.opts.Headers), nil
 }
 
 // encode returns the encoded request line and headers, including the empty line.
--- a/pkg/backend/connection.go
+++ b/pkg/backend/connection.go
@@ -1,7 +1,6 @@
 package backend
 
 import (
-	"bufio"
 	"math"
 	"net"
 	"net/http"
@@ -11,6 +10,8 @@
 	"time"
 
 	"corianderwood.example/corianderwood/pkg/boundedio"
+	"corianderwood.example/corianderwood/pkg/call"
+	"corianderwood.example/corianderwood/pkg/framing"
 )
 
 // connection is one connection to the server. While an exchange uses it, nothing else
@@ -19,7 +20,7 @@
 	net.Conn
 	// input limits what reader reads while it parses a head.
 	input  *boundedio.LimitedReader
-	reader *bufio.Reader
+	reader *framing.Reader
 	// ids holds the ids of the requests that were sent.
 	ids idHistory
 	// idleSince is when the last exchange ended.
@@ -28,6 +29,21 @@
 	keepAlive time.Duration
 }
 
+// newConnection returns a connection whose servers are known by the headers of the deployment.
+func newConnection(inner net.Conn, headers call.Headers) *connection {
+	c := &connection{Conn: inner, input: boundedio.NewLimitedReader(inner), keepAlive: defaultKeepAlive}
+	c.reader = framing.NewReader(limitedConn{c.input, inner}, readBuffer, headers.RequestID, headers.Signature, headers.NotExecuted)
+	return c
+}
+
+// limitedConn is a connection whose reads are limited.
+type limitedConn struct {
+	*boundedio.LimitedReader
+	net.Conn
+}
+
+func (c limitedConn) Read(p []byte) (int, error) { return c.LimitedReader.Read(p) }
+
 // usable reports whether an idle connection may be used for a request: it has not been
 // idle for too long, and the server has neither closed it nor sent data on it.
 func (c *connection) usable(now time.Time, maxIdle time.Duration) bool {
--- a/pkg/backend/exchange.go
+++ b/pkg/backend/exchange.go
@@ -48,6 +48,9 @@
 	if !identified {
 		c.opts.Metrics.responseWithoutID(req.ID, res.StatusCode)
 	}
+	if conn.reader.Buffered() > 0 {
+		c.opts.Metrics.unexpectedBytes.Inc()
+	}
 	if !stop() || res.Close || !identified || conn.ids.full() || conn.reader.Buffered() > 0 {
 		_ = conn.Close()
 		return outcome
@@ -92,7 +95,7 @@
 		}
 		// The reader also buffers up to readBuffer bytes that follow the head.
 		conn.input.Limit(maxHeadBytes + readBuffer)
-		res, err := http.ReadResponse(conn.reader, &http.Request{Method: req.Method})
+		res, err := conn.reader.ReadResponse(&http.Request{Method: req.Method})
 		if err != nil {
 			return nil, err
 		}
@@ -102,6 +105,9 @@
 			continue
 		}
 		body, err := c.readBody(res)
+		if found := conn.reader.Interruption(); found != nil {
+			c.opts.Metrics.interrupted(req.ID, res, found, conn)
+		}
 		if err != nil {
 			return nil, err
 		}
--- a/pkg/backend/fuzz_test.go
+++ b/pkg/backend/fuzz_test.go
@@ -1,7 +1,6 @@
 package backend
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"net"
@@ -19,10 +18,11 @@
 	output *bytes.Reader
 }
 
-func (c outputConn) Read(p []byte) (int, error)  { return c.output.Read(p) }
-func (c outputConn) Write(p []byte) (int, error) { return len(p), nil }
-func (c outputConn) SetDeadline(time.Time) error { return nil }
-func (c outputConn) Close() error                { return nil }
+func (c outputConn) Read(p []byte) (int, error)      { return c.output.Read(p) }
+func (c outputConn) Write(p []byte) (int, error)     { return len(p), nil }
+func (c outputConn) SetDeadline(time.Time) error     { return nil }
+func (c outputConn) SetReadDeadline(time.Time) error { return nil }
+func (c outputConn) Close() error                    { return nil }
 
 // Guards against bytes of a server that panic, or that are passed on as the response to a
 // request whose id they do not carry.
@@ -46,8 +46,7 @@
 // ids and receives the data.
 func checkResponses(t *testing.T, data []byte, earlier []string) {
 	c := NewClient(Options{Headers: headers, Notice: noNotice, Bodies: boundedio.NewBudget(1 << 20), Metrics: NewMetrics(nil)})
-	input := boundedio.NewLimitedReader(outputConn{output: bytes.NewReader(data)})
-	conn := &connection{Conn: outputConn{}, input: input, reader: bufio.NewReaderSize(input, readBuffer)}
+	conn := newConnection(outputConn{output: bytes.NewReader(data)}, headers)
 	for _, id := range earlier {
 		conn.ids.add(id)
 	}
--- a/pkg/backend/monitoring.go
+++ b/pkg/backend/monitoring.go
@@ -1,9 +1,12 @@
 package backend
 
 import (
+	"net/http"
+
 	"github.com/prometheus/client_golang/prometheus"
 
 	"corianderwood.example/corianderwood/pkg/event"
+	"corianderwood.example/corianderwood/pkg/framing"
 )
 
 // Metrics holds the metrics of a Client.
@@ -12,6 +15,10 @@
 	repeated  prometheus.Counter
 	skipped   *prometheus.CounterVec
 	withoutID prometheus.Counter
+	// interruptions counts responses within which another one begins, unexpectedBytes those behind
+	// which bytes follow.
+	interruptions   *prometheus.CounterVec
+	unexpectedBytes prometheus.Counter
 	// responseLog and repeatedLog are apart, since a server that copies responses would use
 	// up the lines about repeated ids.
 	responseLog, repeatedLog *event.LimitedLog
@@ -28,14 +35,21 @@
 			Name: "corianderwood_server_responses_skipped_total", Help: "Responses of the local server that were not those to the request in progress, by reason."}, []string{"reason"}),
 		withoutID: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "corianderwood_server_responses_without_id_total", Help: "Responses of the local server without a request id to the first request on a connection."}),
+		interruptions: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "corianderwood_server_responses_interrupted_total", Help: "Responses of the local server within which another response begins, by what tells their length."}, []string{"framing"}),
+		unexpectedBytes: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "corianderwood_server_bytes_after_response_total", Help: "Connections to the local server that were closed because bytes followed a complete response."}),
 		responseLog: event.NewLimitedLog(responseLogRate, responseLogRate),
 		repeatedLog: event.NewLimitedLog(repeatedLogRate, repeatedLogRate),
 	}
 	for _, why := range []skipReason{skipInterim, skipCopy, skipForeign, skipNoID} {
 		m.skipped.WithLabelValues(string(why))
 	}
+	for _, by := range []framedBy{byLength, byChunks, byEnd} {
+		m.interruptions.WithLabelValues(string(by))
+	}
 	if reg != nil {
-		reg.MustRegister(m.opened, m.repeated, m.skipped, m.withoutID)
+		reg.MustRegister(m.opened, m.repeated, m.skipped, m.withoutID, m.interruptions, m.unexpectedBytes)
 	}
 	return m
 }
@@ -55,6 +69,14 @@
 	m.responseLog.Write(event.UpstreamResponseSkipped, "request", id, "received", received, "status", status, "reason", string(why), "carried", conn.ids.len())
 }
 
+// interrupted records a response within which another one begins.
+func (m *Metrics) interrupted(id string, res *http.Response, found *framing.Interruption, conn *connection) {
+	by := framingOf(res)
+	m.interruptions.WithLabelValues(string(by)).Inc()
+	m.responseLog.Write(event.UpstreamInterrupted, "request", id, "status", res.StatusCode, "framing", string(by), "length", res.ContentLength,
+		"at", found.At, "other", found.Status, "header", found.Mark.Name, "value", found.Mark.Value, "carried", conn.ids.len())
+}
+
 // responseWithoutID records a response without an id that is taken for the one to the request,
 // the first on its connection.
 func (m *Metrics) responseWithoutID(id string, status int) {
--- /dev/null
+++ b/pkg/framing/reader.go
@@ -0,0 +1,106 @@
+package framing
+
+import (
+	"bufio"
+	"io"
+	"net/http"
+	"time"
+)
+
+// Conn is what a Reader needs of a connection.
+type Conn interface {
+	io.Reader
+	SetReadDeadline(t time.Time) error
+}
+
+// Reader reads the responses of one connection, one after the other. It is not safe for
+// concurrent use.
+type Reader struct {
+	*bufio.Reader
+	conn    Conn
+	scanner scanner
+	start   int64 // offset of the response that is being read
+	found   *Interruption
+}
+
+// NewReader returns a reader of the connection with a buffer of the given size, in bytes. The marks
+// are the names of headers that only the servers of the deployment send.
+func NewReader(conn Conn, size int, marks ...string) *Reader {
+	r := &Reader{conn: conn, scanner: scanner{marks: marks}}
+	r.Reader = bufio.NewReaderSize(scanningReader{r}, size)
+	return r
+}
+
+// scanningReader shows the scanner what the connection delivers.
+type scanningReader struct{ *Reader }
+
+func (s scanningReader) Read(p []byte) (int, error) {
+	n, err := s.conn.Read(p)
+	s.scanner.scan(p[:n])
+	return n, err
+}
+
+// ReadResponse reads the head of the next response to a request. Once its body has been read,
+// Interruption tells whether another response begins within it.
+func (r *Reader) ReadResponse(req *http.Request) (*http.Response, error) {
+	r.begin()
+	res, err := http.ReadResponse(r.Reader, req)
+	if err != nil {
+		return nil, err
+	}
+	r.found = r.checkSoFar()
+	if res.Body != http.NoBody {
+		res.Body = &body{ReadCloser: res.Body, reader: r}
+	}
+	return res, nil
+}
+
+// Interruption returns where another response begins within the response that was read, or nil.
+func (r *Reader) Interruption() *Interruption { return r.found }
+
+// begin scans what is buffered once more, as the bytes of the next response.
+func (r *Reader) begin() {
+	r.start = r.offset()
+	buffered, _ := r.Peek(r.Buffered()) // returns no error for buffered bytes
+	r.scanner.reset(r.start)
+	r.scanner.scan(buffered)
+}
+
+// offset returns the offset of the next byte to be read.
+func (r *Reader) offset() int64 { return r.scanner.total - int64(r.Buffered()) }
+
+// checkSoFar returns an *Interruption if another response has begun within what was read.
+func (r *Reader) checkSoFar() *Interruption {
+	if other, found := r.scanner.within(r.start, r.offset()); found {
+		return r.interruption(other)
+	}
+	return nil
+}
+
+// checkWhole returns an *Interruption if another response begins within the response that ends here.
+func (r *Reader) checkWhole() *Interruption {
+	var deadline time.Time
+	end := r.offset()
+	for {
+		result, other := r.scanner.atEnd(r.start, end)
+		switch {
+		case result == interrupted:
+			return r.interruption(other)
+		case result == whole:
+			return nil
+		case deadline.IsZero():
+			deadline = time.Now().Add(restOfStatusLine)
+			if r.conn.SetReadDeadline(deadline) != nil {
+				return nil // the connection has ended, so that nothing follows
+			}
+			defer func() { _ = r.conn.SetReadDeadline(time.Time{}) }() // fails only if the connection has ended
+		}
+		if _, err := r.Peek(r.Buffered() + 1); err != nil {
+			return nil // nothing follows
+		}
+	}
+}
+
+func (r *Reader) interruption(other head) *Interruption {
+	return &Interruption{At: other.start - r.start, Status: other.status, Mark: other.mark}
+}
