backend: pass on no response within which another one begins

Callers got a 200 whose end belonged to another response: a server broke off a response while its connection stayed open, and its late copy, or that of an earlier one, filled it up to its length. The same happened to responses that end with their connection, and where a server wrote both at the same time.

Cause: the framing of a response (length, chunks, end of the connection) tells where it ends, and the node took all bytes before that for the server's. Nothing showed that they belong together.

A response is now whole only if no head of another one lies between its own and its end (pkg/framing). A response starts with a status line in whatever way it comes, so that no delay, status, id, length or framing needs to be known. A head within a body counts if it has the id, signature or refusal header of the deployment, or if the framing shows it: its message reaches the end of the response, or the bytes behind the response begin no message. So pages about HTTP pass, and so does a whole response that its copy follows at once. The outcome of an interrupted exchange is unknown: a safe request goes on to another server, as after a reset.

--- a/pkg/backend/exchange.go
+++ b/pkg/backend/exchange.go
@@ -97,6 +97,7 @@
 		conn.input.Limit(maxHeadBytes + readBuffer)
 		res, err := conn.reader.ReadResponse(&http.Request{Method: req.Method})
 		if err != nil {
+			c.opts.Metrics.notWhole(err, req.ID, byHead, conn)
 			return nil, err
 		}
 		conn.input.Limit(0)
@@ -105,10 +106,8 @@
 			continue
 		}
 		body, err := c.readBody(res)
-		if found := conn.reader.Interruption(); found != nil {
-			c.opts.Metrics.interrupted(req.ID, res, found, conn)
-		}
 		if err != nil {
+			c.opts.Metrics.notWhole(err, req.ID, framingOf(res), conn)
 			return nil, err
 		}
 		id, success := res.Header.Get(c.opts.Headers.RequestID), res.StatusCode/100 == 2
--- a/pkg/backend/framedby.go
+++ b/pkg/backend/framedby.go
@@ -6,6 +6,8 @@
 type framedBy string
 
 const (
+	// byHead means that the head is not whole.
+	byHead   framedBy = "head"
 	byLength framedBy = "length"
 	byChunks framedBy = "chunks"
 	// byEnd means the end of the connection.
--- a/pkg/backend/monitoring.go
+++ b/pkg/backend/monitoring.go
@@ -1,7 +1,7 @@
 package backend
 
 import (
-	"net/http"
+	"errors"
 
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -45,7 +45,7 @@
 	for _, why := range []skipReason{skipInterim, skipCopy, skipForeign, skipNoID} {
 		m.skipped.WithLabelValues(string(why))
 	}
-	for _, by := range []framedBy{byLength, byChunks, byEnd} {
+	for _, by := range []framedBy{byHead, byLength, byChunks, byEnd} {
 		m.interruptions.WithLabelValues(string(by))
 	}
 	if reg != nil {
@@ -69,12 +69,15 @@
 	m.responseLog.Write(event.UpstreamResponseSkipped, "request", id, "received", received, "status", status, "reason", string(why), "carried", conn.ids.len())
 }
 
-// interrupted records a response within which another one begins.
-func (m *Metrics) interrupted(id string, res *http.Response, found *framing.Interruption, conn *connection) {
-	by := framingOf(res)
+// notWhole records a response that could not be read, if that is because another one begins within it.
+func (m *Metrics) notWhole(err error, id string, by framedBy, conn *connection) {
+	var found *framing.Interruption
+	if !errors.As(err, &found) {
+		return
+	}
 	m.interruptions.WithLabelValues(string(by)).Inc()
-	m.responseLog.Write(event.UpstreamInterrupted, "request", id, "status", res.StatusCode, "framing", string(by), "length", res.ContentLength,
-		"at", found.At, "other", found.Status, "header", found.Mark.Name, "value", found.Mark.Value, "carried", conn.ids.len())
+	m.responseLog.Write(event.UpstreamInterrupted, "request", id, "framing", string(by), "at", found.At,
+		"other", found.Status, "header", found.Mark.Name, "value", found.Mark.Value, "carried", conn.ids.len())
 }
 
 // responseWithoutID records a response without an id that is taken for the one to the request,
--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -39,7 +39,7 @@
 	UpstreamResponseWithoutID = Event{422, Warning, "response of the upstream has no request id; the connection is closed after it"}
 	ConnectionsNotReused      = Event{423, Warning, "server sent bytes outside of an exchange, or the response to another request; each connection to it serves one request for a while"}
 	ConnectionsReused         = Event{424, Info, "connections to the server are reused again"}
-	UpstreamInterrupted       = Event{426, Warning, "another response begins within the response of the upstream"}
+	UpstreamInterrupted       = Event{426, Warning, "another response begins within the response of the upstream; it is not passed on"}
 	UpstreamDraining          = Event{402, Info, "upstream is draining"}
 	UpstreamLost              = Event{403, Warning, "upstream stopped renewing its announcement"}
 	PeerUp                    = Event{303, Info, "link to a peer is up"}
