backend: don't take the second response to a request for the first

Callers got a success where the server had answered with a failure, and the reverse: a first response with the id of another request, or a success without an id, was skipped, and the second one, which had the id of the request, was taken.

Cause: a response counted as one to an earlier request by its id alone, or by having none. Only the copy of a response that was received on the connection is known to be such a one. The connection now keeps a digest of each response (status, signature, refusal header, body) beside the id, and skips its copies only. Any other response that can't be the one to the request ends the exchange with an unknown outcome and the connection, since what follows may be a second response. A response with several ids has none.

--- a/pkg/backend/connection.go
+++ b/pkg/backend/connection.go
@@ -61,14 +61,16 @@
 // no response to an earlier one can arrive.
 func (c *connection) isFirstRequest() bool { return c.ids.len() == 1 }
 
-// whyStray returns why a response with the given id does not belong to the request in
-// progress, which has another one.
-func (c *connection) whyStray(id string) skipReason {
+// whyStray returns why a response with the given id and digest does not belong to the request in
+// progress, which has another id.
+func (c *connection) whyStray(id string, digest uint64) skipReason {
 	switch {
 	case id == "":
 		return skipNoID
-	case c.ids.contains(id):
+	case c.ids.isCopy(id, digest):
 		return skipCopy
+	case c.ids.contains(id):
+		return skipDiffers
 	default:
 		return skipForeign
 	}
--- a/pkg/backend/exchange.go
+++ b/pkg/backend/exchange.go
@@ -44,7 +44,7 @@
 	outcome := c.outcome(res)
 	// The next response on the connection could be a copy of this one. Only its id tells the
 	// copy from the response to the next request, which therefore must have another id.
-	identified := res.Header.Get(c.opts.Headers.RequestID) == req.ID
+	identified := res.id(c.opts.Headers) == req.ID
 	if !identified {
 		c.opts.Metrics.responseWithoutID(req.ID, res.StatusCode)
 	}
@@ -85,8 +85,9 @@
 	return call.Response{Refusal: reason.UpstreamFailed, Ran: reason.RanUnknown, ReachedServer: true}
 }
 
-// readResponse reads the complete response to the request, and skips those that belong to no
-// request or to an earlier one.
+// readResponse reads the complete response to the request. The first final response is the one to
+// the request, or shows that the connection can't tell it, unless it is the copy of an earlier one:
+// that is skipped.
 func (c *Client) readResponse(conn *connection, req *call.Request) (*response, error) {
 	// Each earlier request on the connection may have left a copy of its response.
 	for range maxStrayResponses + conn.ids.len() {
@@ -95,28 +96,30 @@
 		}
 		// The reader also buffers up to readBuffer bytes that follow the head.
 		conn.input.Limit(maxHeadBytes + readBuffer)
-		res, err := conn.reader.ReadResponse(&http.Request{Method: req.Method})
+		head, err := conn.reader.ReadResponse(&http.Request{Method: req.Method})
 		if err != nil {
 			c.opts.Metrics.notWhole(err, req.ID, byHead, conn)
 			return nil, err
 		}
 		conn.input.Limit(0)
-		if res.StatusCode/100 == 1 {
-			c.opts.Metrics.skip(skipInterim, req.ID, "", res.StatusCode, conn)
+		if head.StatusCode/100 == 1 {
+			c.opts.Metrics.skip(skipInterim, req.ID, "", head.StatusCode, conn)
 			continue
 		}
-		body, err := c.readBody(res)
+		body, err := c.readBody(head)
 		if err != nil {
-			c.opts.Metrics.notWhole(err, req.ID, framingOf(res), conn)
+			c.opts.Metrics.notWhole(err, req.ID, framingOf(head), conn)
 			return nil, err
 		}
-		id, success := res.Header.Get(c.opts.Headers.RequestID), res.StatusCode/100 == 2
-		if id == req.ID || id == "" && !success && conn.isFirstRequest() {
-			return &response{Response: res, body: body}, nil
+		res := &response{Response: head, body: body}
+		id := res.id(c.opts.Headers)
+		if id == req.ID || id == "" && !res.isSuccess() && conn.isFirstRequest() {
+			conn.ids.setResponse(res.digest(c.opts.Headers))
+			return res, nil
 		}
-		c.opts.Metrics.skip(conn.whyStray(id), req.ID, id, res.StatusCode, conn)
-		// A server that leaves out the id in failures would send no further response.
-		if res.Close || id == "" && !success {
+		why := conn.whyStray(id, res.digest(c.opts.Headers))
+		c.opts.Metrics.skip(why, req.ID, id, res.StatusCode, conn)
+		if res.Close || why != skipCopy {
 			return nil, errMismatch
 		}
 	}
--- a/pkg/backend/monitoring.go
+++ b/pkg/backend/monitoring.go
@@ -42,7 +42,7 @@
 		responseLog: event.NewLimitedLog(responseLogRate, responseLogRate),
 		repeatedLog: event.NewLimitedLog(repeatedLogRate, repeatedLogRate),
 	}
-	for _, why := range []skipReason{skipInterim, skipCopy, skipForeign, skipNoID} {
+	for _, why := range []skipReason{skipInterim, skipCopy, skipDiffers, skipForeign, skipNoID} {
 		m.skipped.WithLabelValues(string(why))
 	}
 	for _, by := range []framedBy{byHead, byLength, byChunks, byEnd} {
--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -35,7 +35,7 @@
 	UpstreamDeparted          = Event{417, Info, "upstreams beside this node have left, as a peer or the store says; late heartbeats of them are ignored"}
 	HeartbeatUnconfirmed      = Event{418, Info, "upstream is used after its next heartbeat: the store was away when the node started"}
 	UpstreamIDRepeated        = Event{420, Info, "idle connection to the upstream has carried the id of this request before"}
-	UpstreamResponseSkipped   = Event{421, Warning, "upstream sent a response that is not the one to the request in progress; it is skipped"}
+	UpstreamResponseSkipped   = Event{421, Warning, "upstream sent a response that is not the one to the request in progress; it is not passed on"}
 	UpstreamResponseWithoutID = Event{422, Warning, "response of the upstream has no request id; the connection is closed after it"}
 	ConnectionsNotReused      = Event{423, Warning, "server sent bytes outside of an exchange, or the response to another request; each connection to it serves one request for a while"}
 	ConnectionsReused         = Event{424, Info, "connections to the server are reused again"}
