backend: know the second response to an earlier request by its signature

The second responses of those servers have the id and the signature of the first, but another body ('ok').

What two responses to one request have in common is the signature. The digest is now that of the signature, and of status, refusal header and body only for a response without one.

--- a/pkg/backend/exchange.go
+++ b/pkg/backend/exchange.go
@@ -86,8 +86,8 @@
 }
 
 // readResponse reads the complete response to the request. The first final response is the one to
-// the request, or shows that the connection can't tell it, unless it is the copy of an earlier one:
-// that is skipped.
+// the request, or shows that the connection can't tell it, unless it is a second response to an
+// earlier request: that is skipped.
 func (c *Client) readResponse(conn *connection, req *call.Request) (*response, error) {
 	// Each earlier request on the connection may have left a copy of its response.
 	for range maxStrayResponses + conn.ids.len() {
--- a/pkg/backend/response.go
+++ b/pkg/backend/response.go
@@ -24,14 +24,17 @@
 	return ""
 }
 
-// digest returns a hash of what two responses have in common if one is the copy of the other. Headers that
-// a server may set anew, such as its load, are left out. It is never 0.
+// digest returns a hash of what tells the response from those to other requests: its signature, which
+// a second response to the same request bears as well, or else what it says. It is never 0.
 func (r *response) digest(names call.Headers) uint64 {
 	var h maphash.Hash
 	h.SetSeed(idSeed)
-	for _, text := range []string{strconv.Itoa(r.StatusCode), r.Header.Get(names.Signature), r.Header.Get(names.NotExecuted)} {
+	texts := []string{r.Header.Get(names.Signature)}
+	if texts[0] == "" {
+		texts = []string{strconv.Itoa(r.StatusCode), r.Header.Get(names.NotExecuted), string(r.body)}
+	}
+	for _, text := range texts {
 		_, _ = h.WriteString(text + "\n") // returns no errors
 	}
-	_, _ = h.Write(r.body)
 	return max(h.Sum64(), 1)
 }
