ingress: write 100 Continue in the order of the responses

Cause: the goroutine that reads requests wrote the interim response itself, beside the one that writes the responses. The reader now queues it, so that a connection has one writer and one order, and asks for no body after the connection was closed for further requests.

--- a/pkg/ingress/conn.go
+++ b/pkg/ingress/conn.go
@@ -37,6 +37,7 @@
 
 // exchange is one request and its response.
 type exchange struct {
+	interim    bool // asks for the body of the next request; it has no response
 	req        *Request
 	body       *boundedio.Hold // the memory of the request's body; released with the response
 	done       chan Response
@@ -178,9 +179,7 @@
 	}
 	if r.Body != nil && r.Body != http.NoBody {
 		if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
-			if _, err := io.WriteString(c.inner, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-				return nil, false, err
-			}
+			c.order <- &exchange{interim: true}
 		}
 		c.receiveFor(bodyTimeout)
 		if req.Body, err = readBody(r, limits.MaxBodyBytes, hold); err != nil {
@@ -330,6 +329,10 @@
 	var out []byte
 	broken := false
 	for e := range c.order {
+		if e.interim {
+			broken = broken || !c.writeContinue()
+			continue
+		}
 		res := <-e.done
 		closing := c.endRequest(res.Close || e.closeAfter || c.server.closing.Load())
 		if !broken {
@@ -351,6 +354,20 @@
 	}
 }
 
+// writeContinue asks the client for the body of the request that is being received. It reports
+// whether the connection can be written to.
+func (c *conn) writeContinue() bool {
+	if c.isClosed() {
+		return true // the request is dropped
+	}
+	_ = c.inner.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if _, err := io.WriteString(c.inner, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+		_ = c.inner.Close() // makes the reader fail and cancel the requests
+		return false
+	}
+	return true
+}
+
 // linger closes the sending side of the connection and lets the reader receive for up to
 // lingerTimeout more.
 func (c *conn) linger() {
