framing: find heads that break off, and the bytes behind a long response

Callers still got a wrong 200 in two ways, found by the review: a response that was filled up by a copy which itself broke off in its head, and a long response with another one within that bears none of the deployment's headers.

Cause: a head was forgotten once a line followed that can't be one of a head, so that only whole heads counted; and the bytes behind a response counted only if they happened to be buffered, which they are not behind a long body. Folded headers, two spaces and a space before a colon hid a head as well, though the parser takes them.

A head that breaks off is kept with what was read of it, and the bytes behind a response are awaited for up to 10 ms if they decide.

--- a/pkg/backend/cutresponse_test.go
+++ b/pkg/backend/cutresponse_test.go
@@ -294,3 +294,52 @@
 		cancel()
 	}
 }
+
+// Guards against a response that a copy fills up which itself breaks off in its head, so that the next one
+// begins right behind.
+func TestCutCopyFillsUpCutResponse(t *testing.T) {
+	const requests, size = 40, 6000
+	for name, from := range map[string]string{"behind the id": "X-Signature", "within the name of a header": "gnature"} {
+		t.Run(name, func(t *testing.T) {
+			address := stutteringServer(t, time.Millisecond, func(c *stutteringConn, id string) {
+				text := ok(id, longBody(id, size))
+				if !isCut(id) {
+					c.send(text)
+					return
+				}
+				cutCopy := text[:strings.Index(text, from)]
+				c.send(text[:len(text)-len(cutCopy)])
+				time.Sleep(time.Millisecond)
+				c.send(cutCopy)
+				c.send(text)
+			})
+			wrong, served := countWrong(t, address, requests, size, statusUnlessCut)
+			if wrong > 0 || served < requests/2 {
+				t.Errorf("%d of %d requests got a response that a cut copy fills up, %d were served", wrong, requests, served)
+			}
+		})
+	}
+}
+
+// Guards against a response with another one within, which bears none of the deployment's headers. That
+// the bytes behind the response begin no message tells; they are still in the socket if the body is long.
+func TestOtherResponseWithinLongBody(t *testing.T) {
+	const requests = 40
+	for name, other := range map[string]string{"interim": "HTTP/1.1 100 Continue\r\n\r\n", "refusal": "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"} {
+		for _, size := range []int{3000, 280_000} {
+			t.Run(fmt.Sprint(name, " ", size), func(t *testing.T) {
+				address := stutteringServer(t, 0, func(c *stutteringConn, id string) {
+					text := ok(id, longBody(id, size))
+					if isCut(id) {
+						text = text[:len(text)/2] + other + text[len(text)/2:]
+					}
+					c.send(text)
+				})
+				wrong, served := countWrong(t, address, requests, size, func(string) int { return http.StatusOK })
+				if wrong > 0 || served < requests/2 {
+					t.Errorf("%d of %d requests got a response with another one within, %d were served", wrong, requests, served)
+				}
+			})
+		}
+	}
+}
--- a/pkg/framing/doc.go
+++ b/pkg/framing/doc.go
@@ -11,5 +11,6 @@
 // A body may hold such a head rightly, for example a page about HTTP. So a head counts only
 // if it has one of the headers by which the servers of the deployment are known, or if the
 // framing shows that it is no part of the body: the message that it begins reaches the end of
-// the response or beyond, or the bytes behind the response don't begin a message.
+// the response or beyond, or the bytes behind the response don't begin a message. The line ends of a
+// head tell it from a text.
 package framing
--- a/pkg/framing/head.go
+++ b/pkg/framing/head.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"math"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -13,46 +14,78 @@
 // unknownEnd is the end of a message whose head does not tell its length.
 const unknownEnd = math.MaxInt64
 
-// head is the head of a response, or a text that may become one. Offsets count the bytes of the
+// head is the head of a response, or a text that begins like one. Offsets count the bytes of the
 // connection.
 type head struct {
 	start int64 // offset of the status line
-	end   int64 // offset behind the message that the head begins, or unknownEnd
-	// hasStatus tells that the status line is complete, complete that the whole head is.
-	hasStatus, complete bool
+	state headState
+	// end is the offset behind the message that a complete head begins, or unknownEnd. If the
+	// head is broken, it is the offset behind the line that can't be one of a head.
+	end int64
 	// nested tells that a further status line lies within a line of the head.
 	nested bool
-	// bareLF tells that a line ends without a carriage return, as in most texts about HTTP.
+	// bareLF tells that the status line ends without a carriage return, as in most texts about HTTP.
 	bareLF bool
 	// mark is the first header by which the servers of the deployment are known, or empty.
 	mark Mark
 
-	status     int
-	length     int64 // Content-Length, or -1
-	unknownLen bool  // chunked
+	status  int
+	length  int64 // Content-Length, or -1
+	chunked bool
 }
 
+// headState is how far the text of a head goes.
+type headState int
+
+const (
+	open headState = iota
+	// broken means that a line follows that can't be one of a head.
+	broken
+	complete
+)
+
 // Mark is a header that only responses of the deployment's servers have.
 type Mark struct{ Name, Value string }
 
-var httpVersion = []byte("HTTP/1.")
+var versionPrefix = []byte("HTTP/")
 
 // parseStatusLine reports whether a line, with its end, is a status line, and its code.
 func parseStatusLine(line []byte) (code int, ok bool) {
-	rest, found := bytes.CutPrefix(trimLineEnd(line), httpVersion)
-	if !found || len(rest) < len("1 200") || !isDigit(rest[0]) || rest[1] != ' ' {
+	rest, ok := cutVersion(trimLineEnd(line))
+	if !ok || len(rest) < 3 || len(rest) > 3 && rest[3] != ' ' {
 		return 0, false
 	}
-	digits := rest[2:5]
-	for _, d := range digits {
-		if !isDigit(d) {
-			return 0, false
-		}
+	code, err := strconv.Atoi(string(rest[:3]))
+	return code, err == nil && areDigits(rest[:3])
+}
+
+// mayBeStatusLine reports whether bytes without a line end may begin a status line.
+func mayBeStatusLine(b []byte) bool {
+	const shortest = "HTTP/1.1 200"
+	if len(b) < len("HTTP/1.1 ") {
+		return cutsVersion(append(slices.Clone(b), shortest[len(b):]...))
 	}
-	if len(rest) > 5 && rest[5] != ' ' {
-		return 0, false
+	rest, ok := cutVersion(b)
+	rest = bytes.TrimSuffix(rest, []byte("\r"))
+	return ok && areDigits(rest[:min(len(rest), 3)]) && (len(rest) <= 3 || rest[3] == ' ')
+}
+
+// cutVersion returns what follows the version and the spaces behind it.
+func cutVersion(line []byte) (rest []byte, ok bool) {
+	rest, found := bytes.CutPrefix(line, versionPrefix)
+	if !found || len(rest) < len("1.1 ") || !isDigit(rest[0]) || rest[1] != '.' || !isDigit(rest[2]) || rest[3] != ' ' {
+		return nil, false
 	}
-	return int(digits[0]-'0')*100 + int(digits[1]-'0')*10 + int(digits[2]-'0'), true
+	return bytes.TrimLeft(rest[3:], " "), true
+}
+
+func cutsVersion(line []byte) bool {
+	_, ok := cutVersion(line)
+	return ok
+}
+
+func areDigits(b []byte) bool {
+	return !slices.ContainsFunc(b, func(c byte) bool { return !isDigit(c) })
 }
 
 func isDigit(b byte) bool { return b >= '0' && b <= '9' }
@@ -64,7 +97,7 @@
 // hasNestedStatusLine reports whether a status line begins within the line and ends with it.
 func hasNestedStatusLine(line []byte) bool {
 	for i := 1; i < len(line); i++ {
-		next := bytes.Index(line[i:], httpVersion)
+		next := bytes.Index(line[i:], versionPrefix)
 		if next < 0 {
 			return false
 		}
@@ -76,49 +109,61 @@
 	return false
 }
 
-// add takes the next line, with its end. It reports whether the text may still be a head.
-func (h *head) add(line []byte, marks []string) bool {
-	h.bareLF = h.bareLF || !bytes.HasSuffix(line, []byte("\r\n"))
-	if !h.hasStatus {
-		h.status, h.hasStatus = parseStatusLine(line)
-		h.nested, h.length = h.hasStatus && hasNestedStatusLine(line), -1
-		return h.hasStatus
-	}
-	text := trimLineEnd(line)
-	if len(text) == 0 {
-		h.complete = true
+// newHead returns the head that a status line, with its end, begins at the offset.
+func newHead(start int64, status int, line []byte) head {
+	return head{start: start, status: status, length: -1, nested: hasNestedStatusLine(line), bareLF: !bytes.HasSuffix(line, []byte("\r\n"))}
+}
+
+// mayBeHeaderLine reports whether bytes without a line end may begin a line of a head.
+func mayBeHeaderLine(b []byte) bool {
+	text := strings.TrimSuffix(string(b), "\r")
+	if text == "" || isFolded(text) {
 		return true
 	}
-	name, value, ok := strings.Cut(string(text), ":")
-	if !ok || !httpguts.ValidHeaderFieldName(name) {
-		return false
+	name, _, _ := strings.Cut(text, ":")
+	return httpguts.ValidHeaderFieldName(strings.TrimRight(name, " \t"))
+}
+
+// isFolded reports whether a line continues the header before it.
+func isFolded(line string) bool { return line != "" && (line[0] == ' ' || line[0] == '\t') }
+
+// add takes the next line, with its end, which ends at the offset.
+func (h *head) add(line []byte, end int64, marks []string) {
+	text := string(trimLineEnd(line))
+	name, value, isField := strings.Cut(text, ":")
+	if text != "" && !isFolded(text) && !isField || !mayBeHeaderLine([]byte(text)) {
+		h.state, h.end = broken, end
+		return
 	}
+	name, value = strings.TrimRight(name, " \t"), strings.TrimSpace(value)
 	h.nested = h.nested || hasNestedStatusLine(line)
-	value = strings.TrimSpace(value)
 	switch {
+	case text == "":
+		h.state, h.end = complete, h.messageEnd(end)
+	case isFolded(text):
 	case strings.EqualFold(name, "Transfer-Encoding"):
-		h.unknownLen = true
+		h.chunked = true
 	case strings.EqualFold(name, "Content-Length"):
 		if n, err := strconv.ParseInt(value, 10, 64); err == nil && n >= 0 {
 			h.length = n
 		}
-	}
-	for _, mark := range marks {
-		if h.mark.Name == "" && strings.EqualFold(name, mark) {
-			h.mark = Mark{mark, value}
+	case h.mark.Name == "":
+		for _, mark := range marks {
+			if strings.EqualFold(name, mark) {
+				h.mark = Mark{mark, value}
+			}
 		}
 	}
-	return true
 }
 
-// finish sets the end of the message of a complete head that ends at the offset.
-func (h *head) finish(offset int64) {
+// messageEnd returns the end of the message of a head that ends at the offset.
+func (h *head) messageEnd(offset int64) int64 {
 	switch {
 	case h.status/100 == 1, h.status == http.StatusNoContent, h.status == http.StatusNotModified:
-		h.end = offset
-	case h.unknownLen || h.length < 0 || h.length > unknownEnd-offset:
-		h.end = unknownEnd
+		return offset
+	case h.chunked || h.length < 0 || h.length > unknownEnd-offset:
+		return unknownEnd
 	default:
-		h.end = offset + h.length
+		return offset + h.length
 	}
 }
--- a/pkg/framing/reader.go
+++ b/pkg/framing/reader.go
@@ -19,9 +19,9 @@
 // concurrent use.
 type Reader struct {
 	*bufio.Reader
-	conn    Conn
-	scanner scanner
-	start   int64 // offset of the response that is being read
+	conn       Conn
+	scanner    scanner
+	inspection inspection // of the response that is being read
 }
 
 // NewReader returns a reader of the connection with a buffer of the given size, in bytes. The marks
@@ -36,7 +36,7 @@
 type scanningReader struct{ *Reader }
 
 func (s scanningReader) Read(p []byte) (int, error) {
-	n, err := s.conn.Read(p)
+	n, err := s.conn.Read(p[:min(len(p), maxRead)])
 	s.scanner.scan(p[:n])
 	return n, err
 }
@@ -49,6 +49,7 @@
 	if err != nil {
 		return nil, err
 	}
+	r.inspection.hasMessages = holdsMessages(res.Header.Get("Content-Type"))
 	if found := r.checkSoFar(); found != nil {
 		return nil, found
 	}
@@ -60,18 +61,20 @@
 
 // begin scans what is buffered once more, as the bytes of the next response.
 func (r *Reader) begin() {
-	r.start = r.offset()
+	start := r.offset()
 	buffered, _ := r.Peek(r.Buffered()) // returns no error for buffered bytes
-	r.scanner.reset(r.start)
+	r.scanner.reset(start)
 	r.scanner.scan(buffered)
+	r.inspection = inspection{scanner: &r.scanner, start: start}
 }
 
 // offset returns the offset of the next byte to be read.
 func (r *Reader) offset() int64 { return r.scanner.total - int64(r.Buffered()) }
 
-// checkSoFar tells whether another response has begun within what was read, and returns nil if none has.
+// checkSoFar tells whether another response has begun within what was read, and returns nil if none is known
+// to have.
 func (r *Reader) checkSoFar() *Interruption {
-	if other, found := r.scanner.within(r.start, r.offset()); found {
+	if other, found := r.inspection.soFar(r.offset()); found {
 		return r.interruption(other)
 	}
 	return nil
@@ -81,15 +84,15 @@
 // none does.
 func (r *Reader) checkWhole() *Interruption {
 	end := r.offset()
-	result, other := r.scanner.atEnd(r.start, end)
+	result, other := r.inspection.atEnd(end)
 	if result == undecided {
-		restore := r.conn.LimitWait(restOfStatusLine)
+		restore := r.conn.LimitWait(awaitNext)
 		defer restore()
 		for result == undecided {
 			if _, err := r.Peek(r.Buffered() + 1); err != nil {
 				return nil // nothing follows
 			}
-			result, other = r.scanner.atEnd(r.start, end)
+			result, other = r.inspection.atEnd(end)
 		}
 	}
 	if result == interrupted {
@@ -99,5 +102,5 @@
 }
 
 func (r *Reader) interruption(other head) *Interruption {
-	return &Interruption{At: other.start - r.start, Status: other.status, Mark: other.mark}
+	return &Interruption{At: other.start - r.inspection.start, Status: other.status, Mark: other.mark}
 }
--- a/pkg/framing/scanner.go
+++ b/pkg/framing/scanner.go
@@ -2,111 +2,133 @@
 
 import "bytes"
 
-// scanner finds the heads of responses in the bytes of a connection, wherever they begin. The
-// text of one possible head is kept at a time: the lines of a head that begins within another
-// one are lines of that one too.
+// scanner finds the heads of responses in the bytes of a connection, wherever they begin. It
+// follows one head at a time: the lines of a head that begins within another one are lines of
+// that one too.
 type scanner struct {
 	marks []string // names of the headers by which the servers are known
 	total int64    // bytes scanned
-	heads []head   // complete ones, in the order of their starts
+	text  []byte   // the last of them, an unfinished line that may belong to a head
 
-	buffer []byte // holds text
-	text   []byte // the last bytes, as long as they may belong to a head
-	isHead bool   // text begins with httpVersion; otherwise it may be the beginning of that
-	open   head   // the head that text begins, if isHead
-	parsed int    // bytes of text that were taken as lines of open
+	inHead  bool
+	current head // if inHead; its lines up to text were taken
+	// heads are those that are complete or broken, in the order of their starts.
+	heads []head
 }
 
 // reset forgets what was found. The next bytes have the given offset.
 func (s *scanner) reset(offset int64) {
-	s.total = offset
-	s.heads, s.text, s.isHead = s.heads[:0], s.text[:0], false
+	s.total, s.inHead, s.heads, s.text = offset, false, s.heads[:0], s.text[:0]
+	if cap(s.text) > maxKeptBuffer {
+		s.text = nil
+	}
+	if cap(s.heads) > maxKeptHeads {
+		s.heads = nil
+	}
 }
 
 // scan takes the next bytes.
 func (s *scanner) scan(p []byte) {
-	for len(p) > 0 {
-		if len(s.text) == 0 {
-			skipped := firstPossible(p)
-			s.total += int64(skipped)
-			p = p[skipped:]
+	if len(s.text) > 0 {
+		p = s.finishLine(p)
+	}
+	if len(p) > 0 {
+		s.total += int64(len(p))
+		rest := s.consume(p)
+		s.text = append(s.text[:0], rest...)
+	}
+}
+
+// finishLine takes bytes up to the end of the unfinished line, and further ones as long as a line
+// is unfinished. It returns the others.
+func (s *scanner) finishLine(p []byte) []byte {
+	for len(p) > 0 && len(s.text) > 0 {
+		n := min(1+bytes.IndexByte(p, '\n'), maxHeaderLine-len(s.text))
+		if n == 0 {
+			n = min(len(p), maxHeaderLine-len(s.text))
 		}
-		n := min(len(p), maxHead-len(s.text))
-		s.buffer = append(append(s.buffer[:0], s.text...), p[:n]...)
-		s.text = s.buffer
+		s.text = append(s.text, p[:n]...)
 		s.total += int64(n)
 		p = p[n:]
-		for s.advance() {
-		}
+		rest := s.consume(s.text)
+		s.text = append(s.text[:0], rest...)
 	}
+	return p
 }
 
-// firstPossible returns the index of the first byte from which p may begin or continue a head.
-func firstPossible(p []byte) int {
-	if i := bytes.Index(p, httpVersion); i >= 0 {
-		return i
-	}
-	for n := min(len(p), len(httpVersion)-1); n > 0; n-- {
-		if bytes.HasSuffix(p, httpVersion[:n]) {
-			return len(p) - n
+// consume takes the lines of the last bytes that were scanned. It returns the rest that may belong to a
+// head, which is shorter than maxHeaderLine.
+func (s *scanner) consume(b []byte) []byte {
+	for {
+		var n int
+		if s.inHead {
+			n = s.takeLine(b)
+		} else {
+			b = b[firstPossible(b):]
+			n = s.takeStatusLine(b)
 		}
+		if n < 0 {
+			return b
+		}
+		b = b[n:]
 	}
-	return len(p)
 }
 
-// advance takes the next line of text. It returns false if more bytes are needed.
-func (s *scanner) advance() bool {
-	if !s.isHead {
-		s.drop(firstPossible(s.text))
-		if !bytes.HasPrefix(s.text, httpVersion) {
-			return false
-		}
-		s.isHead, s.parsed = true, 0
-		s.open = head{start: s.total - int64(len(s.text)), end: unknownEnd}
+// takeStatusLine takes a line that begins with b if it is a status line, else its first byte. It returns the
+// number of bytes taken, or -1 if more are needed.
+func (s *scanner) takeStatusLine(b []byte) int {
+	if !bytes.HasPrefix(b, versionPrefix) {
+		return -1
+	}
+	n := 1 + bytes.IndexByte(b[:min(len(b), maxStatusLine)], '\n')
+	if n == 0 && len(b) < maxStatusLine && mayBeStatusLine(b) {
+		return -1
 	}
-	rest := s.text[s.parsed:]
-	if !s.open.hasStatus {
-		rest = rest[:min(len(rest), maxStatusLine)]
+	status, ok := parseStatusLine(b[:n])
+	if !ok {
+		return 1
 	}
-	lineEnd := bytes.IndexByte(rest, '\n')
+	s.inHead, s.current = true, newHead(s.total-int64(len(b)), status, b[:n])
+	return n
+}
+
+// takeLine takes the next line of the current head. It returns the number of bytes taken, or -1 if more are
+// needed. A line that can't be one of the head is not taken: a status line may begin within.
+func (s *scanner) takeLine(b []byte) int {
+	n := 1 + bytes.IndexByte(b[:min(len(b), maxHeaderLine)], '\n')
 	switch {
-	case lineEnd >= 0:
-	case !s.open.hasStatus && len(rest) == maxStatusLine:
-		s.reject()
-		return true
-	case len(s.text) == maxHead:
-		s.record(len(s.text))
-		return true
+	case n > 0:
+		s.current.add(b[:n], s.total-int64(len(b)-n), s.marks)
+	case len(b) < maxHeaderLine:
+		return -1
 	default:
-		return false
+		s.current.state, s.current.end = broken, s.total
 	}
-	line := rest[:lineEnd+1]
-	if !s.open.add(line, s.marks) {
-		s.reject()
-		return true
+	if s.current.state == open {
+		return n
 	}
-	s.parsed += len(line)
-	if s.open.complete {
-		s.open.finish(s.total - int64(len(s.text)-s.parsed))
-		s.record(s.parsed)
+	s.heads = append(s.heads, s.current)
+	s.inHead = false
+	if s.current.state == broken {
+		return 0
 	}
-	return true
+	return n
 }
 
-// record adds the open head, whose text has the given length, to the found ones.
-func (s *scanner) record(length int) {
-	if len(s.heads) <= maxHeads {
-		s.heads = append(s.heads, s.open)
+// firstPossible returns the index of the first byte from which b may begin a status line.
+func firstPossible(b []byte) int {
+	if i := bytes.Index(b, versionPrefix); i >= 0 {
+		return i
+	}
+	for n := min(len(b), len(versionPrefix)-1); n > 0; n-- {
+		if bytes.HasSuffix(b, versionPrefix[:n]) {
+			return len(b) - n
+		}
 	}
-	s.isHead = false
-	s.drop(length)
+	return len(b)
 }
 
-// reject continues the search in a text that is no head. The line at fault would also end a head that
-// begins within the lines before it.
-func (s *scanner) reject() {
-	s.isHead = false
-	s.drop(max(s.parsed, 1))
+// mayBegin returns the offset from which a status line may begin that is not complete yet.
+func (s *scanner) mayBegin() (offset int64, ok bool) {
+	return s.total - int64(len(s.text)), !s.inHead && len(s.text) > 0
 }
-
-func (s *scanner) drop(n int) { s.text = s.text[n:] }
--- a/pkg/framing/tunables.go
+++ b/pkg/framing/tunables.go
@@ -3,12 +3,16 @@
 import "time"
 
 const (
-	// maxStatusLine and maxHead bound, in bytes, the text that may be the head of a response.
+	// maxStatusLine and maxHeaderLine bound, in bytes, the lines that may be those of a head.
 	maxStatusLine = 512
-	maxHead       = 16 << 10
-	// maxHeads is the number of heads within one response from which it no longer counts as whole.
-	maxHeads = 64
-	// restOfStatusLine is how long to wait for the rest of a status line that seems to begin at
-	// the end of a response. A server writes its head at once, but segments may part it.
-	restOfStatusLine = 10 * time.Millisecond
+	maxHeaderLine = 64 << 10
+	// awaitNext is how long to wait for bytes behind a response if they tell whether it is whole. A
+	// server writes the head of a response at once, but segments may part it.
+	awaitNext = 10 * time.Millisecond
+	// maxRead bounds the bytes, and so the heads, that are scanned before they are judged.
+	maxRead = 32 << 10
+	// maxKeptBuffer, in bytes, and maxKeptHeads bound the memory that is kept from one response to the
+	// next.
+	maxKeptBuffer = 1 << 10
+	maxKeptHeads  = 16
 )
