link: end a large request that is canceled while it is sent

A request of more than one part whose caller had gone was sent to its end, and the peer's server worked on it: 500 kB at 1 MB/s, canceled at 100 ms, ran at the peer, and so did a request that was canceled while it waited behind it, before its first part was sent. Other requests waited for both on the uplink.

Cause: the cancel frame is small and overtakes the parts. The peer, which does not know the sequence yet, ignores it, and nothing ended the transfer at the sender; only the transfers of responses were dropped.

The transfer of a request now ends once its context has. Whatever the order, the peer either gets an end of the transfer instead of its last part, or the cancel frame behind the whole request: the context ends before the cancel frame is queued, and one goroutine writes both.

--- a/pkg/link/link.go
+++ b/pkg/link/link.go
@@ -135,7 +135,9 @@
 }
 
 // roundTrip sends a frame and waits for its response. If the frame could not be queued, it
-// returns unsent.
+// returns unsent. Once ctx ends, the peer gets the frame no longer, or else a cancel frame after
+// it: a large frame that is still being sent ends early, since the peer would ignore a cancel
+// frame that overtakes it.
 func (l *Link) roundTrip(ctx context.Context, kind Kind, frame func(uint64) any, u urgency, unsent call.Response) call.Response {
 	done := make(chan call.Response, 1)
 	l.mu.Lock()
@@ -144,6 +146,7 @@
 	l.pending[seq] = pendingCall{since: time.Now(), done: done}
 	l.mu.Unlock()
 	l.check.start()
+	u.canceled = ctx.Done()
 	if err := l.send(kind, frame(seq), u); err != nil {
 		l.removePending(seq)
 		return unsent
--- a/pkg/link/transfer.go
+++ b/pkg/link/transfer.go
@@ -21,6 +21,8 @@
 	softDeadline time.Time
 	// deadline is when the frame becomes useless; zero means never.
 	deadline time.Time
+	// canceled is closed when the frame becomes useless before its deadline; nil means never.
+	canceled <-chan struct{}
 	// response is the sequence of the request to which the frame is the response; 0 for
 	// other frames.
 	response uint64
@@ -39,7 +41,12 @@
 
 // abandoned reports whether the rest of the transfer need not be sent.
 func (t *transfer) abandoned(now time.Time) bool {
-	return t.dropped.Load() || !t.deadline.IsZero() && now.After(t.deadline)
+	select {
+	case <-t.canceled:
+		return true
+	default:
+		return t.dropped.Load() || !t.deadline.IsZero() && now.After(t.deadline)
+	}
 }
 
 // nextPart returns the frame with the next n bytes of the content. A frame with no bytes
--- a/pkg/link/transfer_test.go
+++ b/pkg/link/transfer_test.go
@@ -60,26 +60,30 @@
 // virtualPair connects two links in virtual time and returns the near one. The far one
 // sends through the scheduler.
 func virtualPair(t *testing.T, up *uplink.Scheduler) *Link {
+	t.Helper()
+	return virtualLinks(t, uplink.New(0), up, serveSizes)
+}
+
+// virtualLinks connects two links in virtual time and returns the near one. Each sends through
+// its scheduler, and the far one serves requests with do.
+func virtualLinks(t *testing.T, nearUp, farUp *uplink.Scheduler, do func(context.Context, *call.Request) call.Response) *Link {
 	t.Helper()
 	near, far := net.Pipe()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	links := make(chan *Link, 2)
-	open := func(conn net.Conn, s *uplink.Scheduler, handler stub) {
+	nearLink, farLink := make(chan *Link, 1), make(chan *Link, 1)
+	open := func(conn net.Conn, s *uplink.Scheduler, handler stub, ready chan *Link) {
 		l, err := Open(ctx, newBuffered(ctx, conn), Hello{Node: "n"}, handler, testShared(s, testBudget(64<<20)))
 		if err != nil {
 			t.Error(err)
 			return
 		}
-		_ = l.Run(func(l *Link) { links <- l }) // ends with the context
+		_ = l.Run(func(l *Link) { ready <- l }) // ends with the context
 	}
-	go open(far, up, stub{serveSizes})
-	go open(near, uplink.New(0), stub{})
-	l := <-links
-	if other := <-links; l.uplink == up {
-		l = other
-	}
-	return l
+	go open(far, farUp, stub{do}, farLink)
+	go open(near, nearUp, stub{}, nearLink)
+	<-farLink
+	return <-nearLink
 }
 
 func request(l *Link, route string) call.Response {
@@ -135,6 +139,50 @@
 	})
 }
 
+// Guards against a canceled request that is sent to its end, so that the peer's server works on
+// it, and against parts of it that become part of the next one.
+func TestCanceledRequestIsSentToItsEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		up := uplink.New(slowUplink)
+		ran := make(chan *call.Request, 3)
+		l := virtualLinks(t, up, uplink.New(0), func(_ context.Context, r *call.Request) call.Response {
+			ran <- r
+			return call.Response{Status: 200, Ran: reason.RanYes, ReachedServer: true}
+		})
+		send := func(id string, size int, timeout time.Duration) call.Response {
+			ctx, cancel := context.WithTimeout(context.Background(), timeout)
+			defer cancel()
+			req := testRequest()
+			req.ID, req.Body = id, bytes.Repeat([]byte(id), size)
+			return l.Do(ctx, req)
+		}
+		queued := make(chan call.Response, 1)
+		go func() {
+			time.Sleep(10 * time.Millisecond)
+			queued <- send("q", 200_000, 50*time.Millisecond) // canceled before its first part is sent
+		}()
+		for _, res := range []call.Response{send("c", 500_000, 100*time.Millisecond), <-queued} {
+			if res.Refusal != reason.Canceled {
+				t.Errorf("outcome of a canceled request: %+v", res)
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+		if left := up.Backlog(time.Now()); left > 100*time.Millisecond {
+			t.Errorf("backlog of the uplink after the cancel: %v", left)
+		}
+		if res := send("n", 100_000, time.Second); res.Status != 200 {
+			t.Errorf("next request: %+v", res)
+		}
+		time.Sleep(time.Second)
+		close(ran)
+		for r := range ran {
+			if r.ID != "n" || !bytes.Equal(r.Body, bytes.Repeat([]byte("n"), 100_000)) {
+				t.Errorf("request %s ran at the peer, %d bytes", r.ID, len(r.Body))
+			}
+		}
+	})
+}
+
 // Guards against rows that are changed by encoding and compression, and against malformed
 // input that is accepted.
 func TestRowsFrame(t *testing.T) {
