--- a/pkg/platform/changefeed.go
+++ b/pkg/platform/changefeed.go
@@ -13,7 +13,8 @@
 var ErrHistoryGone = errors.New("platform: the requested changes have been deleted; list the table again")
 
 // ChangeFeed provides the rows of a table and their changes. All methods may be called
-// from any goroutine. Errors match ErrUnavailable or ErrHistoryGone.
+// from any goroutine. Errors match ErrUnavailable or ErrHistoryGone. A repeated call does not
+// use the connection of the earlier one, which may have stopped delivering.
 type ChangeFeed interface {
 	// List returns all rows of a table and the version up to which they are complete.
 	List(ctx context.Context, table string) ([]rowcache.Row, uint64, error)
@@ -21,7 +22,4 @@
 	// the version from which to continue. It waits up to the given duration for the
 	// first change.
 	Changes(ctx context.Context, table string, after uint64, wait time.Duration) ([]rowcache.Row, uint64, error)
-	// CloseIdleConnections closes the connections that no request uses, so that the next
-	// request opens a new one.
-	CloseIdleConnections()
 }
--- a/pkg/sidecar/departures.go
+++ b/pkg/sidecar/departures.go
@@ -72,7 +72,6 @@
 		}
 		d.node.metrics.departureWriteFailures.Inc()
 		// The first repeat follows at once: the connection may have stopped delivering.
-		d.node.deploy.Store.CloseIdleConnections()
 		sleep(ctx, backoff)
 		backoff, timeout = min(max(2*backoff, storeBackoffMin), storeBackoffMax), 2*timeout
 	}
--- a/pkg/sidecar/follow.go
+++ b/pkg/sidecar/follow.go
@@ -181,8 +181,6 @@
 	return func() {
 		n.metrics.storeRepeats.Inc()
 		event.StoreReadRepeated.Log("table", table, "copy", n.cache.Version(table))
-		// Connections that were opened earlier may have stopped delivering too.
-		n.deploy.Store.CloseIdleConnections()
 	}
 }
 
