sidecar: refuse rows of another table, and tell of responses that can't be read

A response of the store with rows of another table counted as the whole table: its own rows counted as deleted, the foreign ones as its rows, up to the version of the response. Nothing told of it, nor of a response that was cut and filled up, beyond the first 601 of an outage.

Cause: the copy of a table took each row for one of that table, although rows name theirs.

Rows that name another table fail the read now, the copy stays as it is, and event 609 and corianderwood_store_responses_refused_total tell of these and of responses that can't be read. Versions are not compared: a read may be stale.

--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -76,6 +76,7 @@
 	DepartureWriteFailed      = Event{606, Warning, "departure of a local upstream could not be written to the store; the write is repeated"}
 	DepartureInPeersOnly      = Event{607, Warning, "departure of a local upstream is not in the store yet; other nodes were told"}
 	DepartureRowMalformed     = Event{608, Warning, "row with the departures of local upstreams can't be read and is written anew"}
+	StoreResponseRefused      = Event{609, Warning, "response of the store can't be read or has rows of another table; it counts as a failed read"}
 	KeysReloaded              = Event{701, Info, "certificate and key were reloaded"}
 	KeysReloadFailed          = Event{702, Error, "certificate or key could not be reloaded; the earlier ones stay in use"}
 	OperatorRefused           = Event{703, Warning, "operator request was refused"}
@@ -94,7 +95,7 @@
 		RequestMalformed, RequestNoRoute, RequestAttempt, RequestRefused, RequestFailed, RequestIDRepeated, RequestResponseForeign, UpstreamUnreachable,
 		MoveOrdered, MoveOrderMalformed, VersionRejected, StoreHistoryTruncated, StoreReadRepeated,
 		MoveStage, MoveRolledBack, MoveOutcome, MoveOutcomePending,
-		PlatformDown, PlatformUp, MemberRowWriteFailed, DepartureWriteFailed, DepartureInPeersOnly, DepartureRowMalformed,
+		PlatformDown, PlatformUp, MemberRowWriteFailed, DepartureWriteFailed, DepartureInPeersOnly, DepartureRowMalformed, StoreResponseRefused,
 		KeysReloaded, KeysReloadFailed, OperatorRefused,
 	}
 }
--- a/pkg/platform/errors.go
+++ b/pkg/platform/errors.go
@@ -13,6 +13,8 @@
 	// ErrUnknownOutcome means that the write may have been applied. The caller must
 	// read the row to find out.
 	ErrUnknownOutcome = errors.New("platform: outcome of the write is unknown; read the operation record")
+	// ErrUnreadable means that a response was cut or is malformed. It comes with ErrUnavailable.
+	ErrUnreadable = errors.New("platform: response can't be read; check the platform and what forwards its responses")
 	// ErrNotFound means that there is no such object.
 	ErrNotFound = errors.New("platform: object not found")
 	// ErrTooLarge means that the object has more bytes than the caller accepts.
--- a/pkg/sidecar/follow.go
+++ b/pkg/sidecar/follow.go
@@ -9,6 +9,7 @@
 
 	"corianderwood.example/corianderwood/pkg/event"
 	"corianderwood.example/corianderwood/pkg/platform"
+	"corianderwood.example/corianderwood/pkg/rowcache"
 )
 
 func (n *Node) followOperator(ctx context.Context) { n.follow(ctx, n.deploy.RowCodec.Table()) }
@@ -141,7 +142,7 @@
 	list := func(ctx context.Context) tableRead {
 		n.metrics.storeCalls.Inc()
 		rows, version, err := n.deploy.Store.List(ctx, table)
-		return tableRead{rows, version, err}
+		return n.checked(table, tableRead{rows, version, err})
 	}
 	overdue := n.readOverdue()
 	return hedgedRead{first: list, repeat: list, overdue: overdue, interval: overdue, beforeRepeat: n.beforeReadRepeat(table)}
@@ -155,13 +156,26 @@
 		return func(ctx context.Context) tableRead {
 			n.metrics.storeCalls.Inc()
 			rows, version, err := n.deploy.Store.Changes(ctx, table, after, wait)
-			return tableRead{rows, version, err}
+			return n.checked(table, tableRead{rows, version, err})
 		}
 	}
 	wait, overdue := n.feedWait(table), n.readOverdue()
 	return hedgedRead{first: changes(wait), repeat: changes(0), overdue: wait + overdue, interval: overdue, beforeRepeat: n.beforeReadRepeat(table)}
 }
 
+// checked refuses a response that has rows of another table, and counts it and those that can't
+// be read.
+func (n *Node) checked(table string, r tableRead) tableRead {
+	if r.err == nil {
+		r.err = rowcache.Check(table, r.rows)
+	}
+	if errors.Is(r.err, rowcache.ErrForeignRow) || errors.Is(r.err, platform.ErrUnreadable) {
+		n.metrics.storeResponsesRefused.Inc()
+		event.StoreResponseRefused.LogError(r.err, "table", table, "copy", n.cache.Version(table))
+	}
+	return r
+}
+
 // feedWait returns how long a feed request waits for changes of a table. For the
 // operator's table it bounds the time for which a lost request can hide a configuration.
 func (n *Node) feedWait(table string) time.Duration {
--- a/pkg/sidecar/metrics.go
+++ b/pkg/sidecar/metrics.go
@@ -6,6 +6,7 @@
 	storeCalls             prometheus.Counter
 	storeFailures          prometheus.Counter
 	storeRepeats           prometheus.Counter
+	storeResponsesRefused  prometheus.Counter
 	storeLastResponse      *prometheus.GaugeVec // by table
 	configurationsRejected prometheus.Counter
 	configuration          prometheus.Gauge
@@ -41,6 +42,7 @@
 		storeLastResponse:      lastResponse,
 		storeCalls:             counter("corianderwood_store_calls_total", "Requests to the store."),
 		storeFailures:          counter("corianderwood_store_failures_total", "Requests to the store that failed."),
+		storeResponsesRefused:  counter("corianderwood_store_responses_refused_total", "Responses of the store that could not be read or had rows of another table."),
 		storeRepeats:           counter("corianderwood_store_repeats_total", "Reads of the store repeated because the response was overdue."),
 		configurationsRejected: counter("corianderwood_configurations_rejected_total", "Configurations rejected as invalid or outdated."),
 		configuration:          gauge("corianderwood_configuration_version", "Version of the configuration in force."),
