--- a/pkg/link/transfer_test.go
+++ b/pkg/link/transfer_test.go
@@ -5,7 +5,10 @@
 	"context"
 	"encoding/binary"
 	"errors"
+	"math/rand/v2"
 	"net"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -57,22 +60,30 @@
 	return len(p), nil
 }
 
+// strictStub is a stub for links on which every frame can be read.
+type strictStub struct {
+	stub
+	t *testing.T
+}
+
+func (s strictStub) Malformed(_ *Link, err error) { s.t.Errorf("malformed frame: %v", err) }
+
 // virtualPair connects two links in virtual time and returns the near one. The far one
 // sends through the scheduler.
 func virtualPair(t *testing.T, up *uplink.Scheduler) *Link {
 	t.Helper()
-	return virtualLinks(t, uplink.New(0), up, serveSizes)
+	return virtualLinks(t, uplink.New(0), up, stub{serveSizes})
 }
 
 // virtualLinks connects two links in virtual time and returns the near one. Each sends through
-// its scheduler, and the far one serves requests with do.
-func virtualLinks(t *testing.T, nearUp, farUp *uplink.Scheduler, do func(context.Context, *call.Request) call.Response) *Link {
+// its scheduler, and the far one serves requests with the handler.
+func virtualLinks(t *testing.T, nearUp, farUp *uplink.Scheduler, handler Handler) *Link {
 	t.Helper()
 	near, far := net.Pipe()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	nearLink, farLink := make(chan *Link, 1), make(chan *Link, 1)
-	open := func(conn net.Conn, s *uplink.Scheduler, handler stub, ready chan *Link) {
+	open := func(conn net.Conn, s *uplink.Scheduler, handler Handler, ready chan *Link) {
 		l, err := Open(ctx, newBuffered(ctx, conn), Hello{Node: "n"}, handler, testShared(s, testBudget(64<<20)))
 		if err != nil {
 			t.Error(err)
@@ -80,8 +91,8 @@
 		}
 		_ = l.Run(func(l *Link) { ready <- l }) // ends with the context
 	}
-	go open(far, farUp, stub{do}, farLink)
-	go open(near, nearUp, stub{}, nearLink)
+	go open(far, farUp, handler, farLink)
+	go open(near, nearUp, strictStub{t: t}, nearLink)
 	<-farLink
 	return <-nearLink
 }
@@ -145,10 +156,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		up := uplink.New(slowUplink)
 		ran := make(chan *call.Request, 3)
-		l := virtualLinks(t, up, uplink.New(0), func(_ context.Context, r *call.Request) call.Response {
+		l := virtualLinks(t, up, uplink.New(0), stub{func(_ context.Context, r *call.Request) call.Response {
 			ran <- r
 			return call.Response{Status: 200, Ran: reason.RanYes, ReachedServer: true}
-		})
+		}})
 		send := func(id string, size int, timeout time.Duration) call.Response {
 			ctx, cancel := context.WithTimeout(context.Background(), timeout)
 			defer cancel()
@@ -183,6 +194,49 @@
 	})
 }
 
+// Guards against parts of a request or response that fill up another one when many are sent at
+// once and some are canceled at any time, also between their parts.
+func TestCanceledTransferFillsUpAnother(t *testing.T) {
+	const requests, maxBytes = 150, 120_000
+	for seed := range uint64(8) {
+		synctest.Test(t, func(t *testing.T) {
+			rnd := rand.New(rand.NewPCG(seed, 3))
+			foreign := func(id string, body []byte) bool { return len(bytes.Trim(body, id)) > 0 }
+			l := virtualLinks(t, uplink.New(slowUplink), uplink.New(slowUplink), strictStub{t: t, stub: stub{func(_ context.Context, r *call.Request) call.Response {
+				if foreign(r.ID, r.Body) {
+					t.Errorf("seed %d: request %q has bytes of another one", seed, r.ID)
+				}
+				return call.Response{Status: 200, Ran: reason.RanYes, ReachedServer: true, Body: bytes.Clone(r.Body)}
+			}}})
+			var senders sync.WaitGroup
+			served, canceled := atomic.Int64{}, atomic.Int64{}
+			for i := range requests {
+				time.Sleep(time.Duration(rnd.IntN(60)) * time.Millisecond)
+				ctx, cancel := context.WithTimeout(context.Background(), time.Duration(1+rnd.IntN(800))*time.Millisecond)
+				req := testRequest()
+				req.ID = string(rune('A' + i%26))
+				req.Body = bytes.Repeat([]byte(req.ID), 1+rnd.IntN(maxBytes))
+				senders.Go(func() {
+					defer cancel()
+					switch res := l.Do(ctx, req); {
+					case res.Status == 0:
+						canceled.Add(1)
+					case len(res.Body) != len(req.Body) || foreign(req.ID, res.Body):
+						t.Errorf("seed %d: request %q of %d bytes got a response of %d bytes, or with foreign ones", seed, req.ID, len(req.Body), len(res.Body))
+					default:
+						served.Add(1)
+					}
+				})
+			}
+			senders.Wait()
+			if !l.Alive() || served.Load() == 0 || canceled.Load() == 0 {
+				t.Errorf("seed %d: link up %v, %d requests served, %d canceled", seed, l.Alive(), served.Load(), canceled.Load())
+			}
+			t.Logf("seed %d: %d requests served, %d canceled", seed, served.Load(), canceled.Load())
+		})
+	}
+}
+
 // Guards against rows that are changed by encoding and compression, and against malformed
 // input that is accepted.
 func TestRowsFrame(t *testing.T) {
