soak: servers break off, contradict, and mix up their responses

A misbehavior draws how a response is delivered. Five new ones spoil one of eight responses: Cutting, Contradicting, Unframed, Alternating (50 to 150 KB, in pieces of 4 KB), and Chunked, which cuts or alternates. The server records a cut response as not answered, and the first of two. The signature names the length of the body, so that the client compares all of it, and violations say where it differs.

--- a/harness/soak/checker.go
+++ b/harness/soak/checker.go
@@ -46,6 +46,7 @@
 
 func (c *Checker) addViolation(format string, args ...any) {
 	const maxViolations = 20
+	c.counts["violations"]++
 	if len(c.violations) < maxViolations {
 		c.violations = append(c.violations, time.Now().Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
 	}
@@ -145,7 +146,7 @@
 }
 
 // Report returns the violations, at most the first 20, and the counts of the outcomes of
-// requests, of requests sent again and of copied responses.
+// requests, of requests sent again, of copied and spoiled responses, and of all violations.
 func (c *Checker) Report() ([]string, map[string]int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/harness/soak/client.go
+++ b/harness/soak/client.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -68,10 +67,11 @@
 			c.soak.checker.OnLoss(id, c.instance.name, err)
 		}
 		return false
-	case status == http.StatusOK || header.Get(headers.Signature) != "":
-		execution, ok := executionOf(id, header.Get(headers.Signature))
-		if !ok || status == http.StatusOK && body != responseBody(service, id, c.body(id), execution) {
-			c.soak.checker.Violationf("request %s got status %d and body %q with signature %q", id, status, body, header.Get(headers.Signature))
+	case status/100 == 2 || header.Get(headers.Signature) != "":
+		execution, blocks, ok := executionOf(id, header.Get(headers.Signature))
+		if want := responseBody(service, id, c.body(id), execution, blocks); !ok || status/100 == 2 && body != want {
+			c.soak.checker.Violationf("request %s got status %d with signature %q and a body that differs from its own %s",
+				id, status, header.Get(headers.Signature), difference(body, want))
 			break
 		}
 		c.soak.checker.OnResponse(id, status, execution)
@@ -96,12 +96,13 @@
 	return "body-" + id
 }
 
-// executionOf returns the number of the execution that a signature names; ok is false if it is
-// not the signature of a response to the request with the given id.
-func executionOf(id, text string) (execution int, ok bool) {
-	number, ok := strings.CutPrefix(text, signature+id+".")
-	execution, err := strconv.Atoi(number)
-	return execution, ok && err == nil
+// difference tells where a body begins to differ from the expected one.
+func difference(body, want string) string {
+	at := 0
+	for at < min(len(body), len(want)) && body[at] == want[at] {
+		at++
+	}
+	return fmt.Sprintf("at byte %d of %d: %.60q", at, len(want), body[at:])
 }
 
 // exchange sends one request and reads the whole response.
--- a/harness/soak/faults.go
+++ b/harness/soak/faults.go
@@ -75,7 +75,7 @@
 	{"forget", func(s *Soak) (string, func()) { s.store.TruncateHistory(); return "history", func() {} }},
 	{"server", func(s *Soak) (string, func()) {
 		i := s.randomInstance()
-		t := []Misbehavior{Slow, Failing, Rejecting, Resetting, Duplicating}[s.rnd.IntN(5)]
+		t := Slow + Misbehavior(s.rnd.IntN(int(Chunked)))
 		i.server.SetMisbehavior(t)
 		return fmt.Sprintf("%s trouble %d", i.name, t), func() { i.server.SetMisbehavior(NoMisbehavior) }
 	}},
--- a/harness/soak/server.go
+++ b/harness/soak/server.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -19,47 +18,16 @@
 // headers holds the names of the deployment's HTTP headers.
 var headers = platform.Headers()
 
-// Misbehavior is a way in which a server misbehaves.
-type Misbehavior int
-
-// Misbehaviors of a server.
-const (
-	NoMisbehavior Misbehavior = iota
-	// Slow takes five times workTime.
-	Slow
-	// Failing responds to half of the requests with status 500.
-	Failing
-	// Rejecting rejects half of the requests as not executed.
-	Rejecting
-	// Resetting closes the connection of half of the requests, after it has executed
-	// them, without a response.
-	Resetting
-	// Duplicating sends each response twice, the second time up to maxCopyDelay later on the
-	// same connection, which stays in use. One of copiedFailureOneIn has status 500.
-	Duplicating
-)
-
 const (
 	workTime = 8 * time.Millisecond // how long a server works on a request
 	slots    = 6                    // concurrent requests that heartbeats announce as the capacity
-	// maxCopyDelay is the time after a response within which a copy of it is sent.
-	maxCopyDelay = 60 * time.Millisecond
 	// copyOneIn, in responses, is how rare copies of a server are that is not Duplicating.
 	copyOneIn = 5
-	// copiedFailureOneIn, in responses, is how rare failures of a Duplicating server are. With
-	// more of them, nodes avoid the server.
-	copiedFailureOneIn = 10
-	// signature, followed by the request id, a dot and the number of the execution, is the
-	// signature header of each response. A client detects by it a header that was lost or
-	// belongs to another response.
-	signature = "signed"
 )
 
 // noResponse stands for the status of an execution that ends without a response.
 const noResponse = 0
 
-var errNoResponse = errors.New("the response is withheld")
-
 // Server is a fake application server next to one node. mu guards the fields below it.
 type Server struct {
 	name, service, address string
@@ -165,16 +133,15 @@
 	s.mu.Lock()
 	misbehavior, instanceID, acked := s.misbehavior, s.instanceID, s.drainAckedAt
 	s.mu.Unlock()
-	header := make(http.Header)
-	header.Set(headers.RequestID, id)
-	respond := func(status int, body string) error {
-		response := encodeResponse(status, header, body)
-		if err := conn.send(response); err != nil {
+	d := delivery{send: (*serverConnection).sendWhole}
+	respond := func(res response) error {
+		res.id = id
+		if err := d.send(conn, res); err != nil {
 			return err
 		}
-		if misbehavior == Duplicating || rand.IntN(copyOneIn) == 0 {
+		if d.name == "" && (misbehavior == Duplicating || rand.IntN(copyOneIn) == 0) {
 			s.checker.Count("copied")
-			conn.sendLater(response, rand.N(maxCopyDelay))
+			conn.sendLater(conn.previous, rand.N(maxCopyDelay))
 		}
 		return nil
 	}
@@ -187,21 +154,13 @@
 		return err // the caller has closed the connection
 	}
 	if !expected {
-		return respond(http.StatusMisdirectedRequest, "")
+		return respond(response{status: http.StatusMisdirectedRequest})
 	}
-	misbehave := rand.IntN(2) == 0
-	if misbehavior == Rejecting && misbehave {
-		header.Set(headers.NotExecuted, "1")
-		return respond(http.StatusServiceUnavailable, "")
+	if misbehavior == Rejecting && rand.IntN(2) == 0 {
+		return respond(response{status: http.StatusServiceUnavailable, notExecuted: true})
 	}
-	status := http.StatusOK
-	switch {
-	case misbehavior == Failing && misbehave, misbehavior == Duplicating && rand.IntN(copiedFailureOneIn) == 0:
-		status = http.StatusInternalServerError
-	case misbehavior == Resetting && misbehave:
-		status = noResponse
-	}
-	execution := s.checker.OnStart(id, instanceID, status)
+	d = misbehavior.draw()
+	execution := s.checker.OnStart(id, instanceID, d.status)
 	if caller := r.Header.Get(headers.CallerService); caller != "alpha" && caller != "beta" {
 		s.checker.Violationf("request %s has unexpected caller service %q", id, caller)
 	}
@@ -210,20 +169,15 @@
 		work *= 5
 	}
 	time.Sleep(work)
-	header.Set(headers.Signature, fmt.Sprintf("%s%s.%d", signature, id, execution))
-	switch status {
-	case noResponse:
-		return errNoResponse
-	case http.StatusOK:
-		return respond(status, responseBody(s.service, id, string(body), execution))
-	default:
-		return respond(status, "")
+	if d.name != "" {
+		s.checker.Count(d.name)
 	}
-}
-
-// responseBody returns the body of the response of an execution.
-func responseBody(service, id, requestBody string, execution int) string {
-	return fmt.Sprintf("%s %s %s %d", service, id, requestBody, execution)
+	res := response{status: d.status, framing: d.framing, signature: signatureOf(id, execution, d.blocks),
+		body: responseBody(s.service, id, string(body), execution, d.blocks)}
+	if d.status == noResponse {
+		res.status = http.StatusOK // of the response that does not arrive whole
+	}
+	return respond(res)
 }
 
 // Close closes the listener. The connections end with the nodes.
