--- a/harness/soak/checker_test.go
+++ b/harness/soak/checker_test.go
@@ -64,6 +64,12 @@
 			c.OnStart("a", "s", 500)
 			c.OnResponse("a", 200, 1)
 		}, true},
+		"success of an execution without a response": {func(c *Checker) {
+			c.OnSent("a", false)
+			c.OnSending("a")
+			c.OnStart("a", "s", noResponse)
+			c.OnResponse("a", 200, 1)
+		}, true},
 		"response of an unknown execution": {func(c *Checker) { c.OnSent("a", false); c.OnResponse("a", 200, 1) }, true},
 	} {
 		checker := NewChecker()
