--- a/pkg/proxy/mesh_test.go
+++ b/pkg/proxy/mesh_test.go
@@ -246,6 +246,8 @@
 	header http.Header
 	body   string
 	err    error
+	// trailer is nil if there is none.
+	trailer http.Header
 }
 
 // do sends one request to the ingress node with the given client.
@@ -263,7 +265,7 @@
 	}
 	defer resp.Body.Close()
 	text, err := io.ReadAll(resp.Body)
-	return result{resp.StatusCode, resp.Header, string(text), err}
+	return result{resp.StatusCode, resp.Header, string(text), err, resp.Trailer}
 }
 
 // newClient returns a client with its own connections.
