framing: return interruptions as errors

ReadResponse and the read that would end the body return an *Interruption, so that a caller that ignores it can't take the response as whole.

--- a/pkg/backend/exchange.go
+++ b/pkg/backend/exchange.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"corianderwood.example/corianderwood/pkg/call"
+	"corianderwood.example/corianderwood/pkg/framing"
 	"corianderwood.example/corianderwood/pkg/reason"
 )
 
@@ -105,7 +106,7 @@
 			continue
 		}
 		body, err := c.readBody(res)
-		if found := conn.reader.Interruption(); found != nil {
+		if found := (*framing.Interruption)(nil); errors.As(err, &found) {
 			c.opts.Metrics.interrupted(req.ID, res, found, conn)
 		}
 		if err != nil {
--- a/pkg/framing/body.go
+++ b/pkg/framing/body.go
@@ -5,7 +5,8 @@
 	"io"
 )
 
-// body is the body of a response. Each read looks for another response within.
+// body is the body of a response. It does not deliver the bytes at which another response is
+// found, nor the end.
 type body struct {
 	io.ReadCloser
 	reader *Reader
@@ -22,8 +23,8 @@
 	if errors.Is(err, io.EOF) {
 		check = b.reader.checkWhole
 	}
-	if found := check(); b.reader.found == nil {
-		b.reader.found = found
+	if found := check(); found != nil {
+		n, err = 0, found
 	}
 	b.err = err
 	return n, err
--- a/pkg/framing/framing_test.go
+++ b/pkg/framing/framing_test.go
@@ -40,9 +40,6 @@
 		return "", err
 	}
 	body, err := io.ReadAll(res.Body)
-	if found := r.Interruption(); found != nil {
-		return "", found
-	}
 	return string(body), err
 }
 
@@ -174,7 +171,7 @@
 					break
 				}
 				body, err := io.ReadAll(res.Body)
-				if err == nil && r.Interruption() == nil && bytes.Contains(body, []byte("HTTP/1.1 500 Reason\r\nX-Id: r\r\n")) {
+				if err == nil && bytes.Contains(body, []byte("HTTP/1.1 500 Reason\r\nX-Id: r\r\n")) {
 					t.Fatalf("another response lies within %q", body)
 				}
 			}
--- a/pkg/framing/reader.go
+++ b/pkg/framing/reader.go
@@ -20,7 +20,6 @@
 	conn    Conn
 	scanner scanner
 	start   int64 // offset of the response that is being read
-	found   *Interruption
 }
 
 // NewReader returns a reader of the connection with a buffer of the given size, in bytes. The marks
@@ -40,24 +39,23 @@
 	return n, err
 }
 
-// ReadResponse reads the head of the next response to a request. Once its body has been read,
-// Interruption tells whether another response begins within it.
+// ReadResponse reads the head of the next response to a request. It, or the read that would end the
+// body, returns an *Interruption if another response begins within the response.
 func (r *Reader) ReadResponse(req *http.Request) (*http.Response, error) {
 	r.begin()
 	res, err := http.ReadResponse(r.Reader, req)
 	if err != nil {
 		return nil, err
 	}
-	r.found = r.checkSoFar()
+	if found := r.checkSoFar(); found != nil {
+		return nil, found
+	}
 	if res.Body != http.NoBody {
 		res.Body = &body{ReadCloser: res.Body, reader: r}
 	}
 	return res, nil
 }
 
-// Interruption returns where another response begins within the response that was read, or nil.
-func (r *Reader) Interruption() *Interruption { return r.found }
-
 // begin scans what is buffered once more, as the bytes of the next response.
 func (r *Reader) begin() {
 	r.start = r.offset()
@@ -69,7 +67,7 @@
 // offset returns the offset of the next byte to be read.
 func (r *Reader) offset() int64 { return r.scanner.total - int64(r.Buffered()) }
 
-// checkSoFar returns an *Interruption if another response has begun within what was read.
+// checkSoFar tells whether another response has begun within what was read, and returns nil if none has.
 func (r *Reader) checkSoFar() *Interruption {
 	if other, found := r.scanner.within(r.start, r.offset()); found {
 		return r.interruption(other)
@@ -77,7 +75,8 @@
 	return nil
 }
 
-// checkWhole returns an *Interruption if another response begins within the response that ends here.
+// checkWhole tells whether another response begins within the response that ends here, and returns nil if
+// none does.
 func (r *Reader) checkWhole() *Interruption {
 	var deadline time.Time
 	end := r.offset()
