framing: end the read of a chunk within which a marked response begins

A read waited for the rest of the chunk, up to the read deadline, although the head of another response was within it: net/http reads a chunk until the buffer or the chunk is full, and the body was checked after that only. Now it is checked before each read of the connection.

TestAnotherResponseWithinChunkEndsReadAtOnce failed before in 3 of 3 runs (10.0 s, the deadline), and passes in 3 of 3 (all within 10 ms). go test -race ./pkg/framing ./pkg/backend passes.

--- a/pkg/framing/framing_test.go
+++ b/pkg/framing/framing_test.go
@@ -108,6 +108,26 @@
 	}
 }
 
+// Guards against a read that waits for the rest of a chunk although a marked response has begun within it.
+func TestAnotherResponseWithinChunkEndsReadAtOnce(t *testing.T) {
+	client, server := net.Pipe()
+	defer client.Close()
+	go func() {
+		_, _ = io.WriteString(server, "HTTP/1.1 200 OK\r\nX-Id: r\r\nTransfer-Encoding: chunked\r\n\r\n2000\r\nhello")
+		_, _ = io.WriteString(server, response(200, "hello"))
+	}()
+	begun := time.Now()
+	_ = client.SetReadDeadline(begun.Add(10 * time.Second))
+	res, err := NewReader(client, 4096, "x-id").ReadResponse(&http.Request{Method: http.MethodGet})
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = io.ReadAll(res.Body)
+	if took := time.Since(begun); !errors.As(err, new(*Interruption)) || took > 5*time.Second {
+		t.Errorf("the body ends with %v after %v", err, took)
+	}
+}
+
 // Guards against a cause in the error that misleads.
 func TestInterruption(t *testing.T) {
 	_, err := readFirst(t, response(200, "1234567")[:55], response(503, "busy"))
--- a/pkg/framing/reader.go
+++ b/pkg/framing/reader.go
@@ -34,6 +34,10 @@
 type scanningReader struct{ *Reader }
 
 func (s scanningReader) Read(p []byte) (int, error) {
+	// A chunk is read to its end before the body checks, which may never come.
+	if found := s.checkSoFar(); found != nil {
+		return 0, found
+	}
 	n, err := s.conn.Read(p)
 	s.scanner.scan(p[:n])
 	return n, err
