proxy: pass on no response within which another one begins

Callers got a complete 200 whose end or middle was the bytes of another response, where a server broke off a response while its connection stayed open, or sent two at once. The length of a response tells where it ends, not whose bytes lie before the end. It could happen on each leg: from an upstream, between nodes, and to outcome queries.

All responses are read with framing.Reader now, marked by the header that names the exchange: the exchange id between nodes, the call id of an upstream that repeats it. Without that, only what the framing shows decides. An interrupted response is a broken exchange: its connection is closed, the call is refused as of unknown outcome or its outcome queried, and a response that is being streamed is broken off. It counts as within-response in event 423 and its metric, so that each connection to the server serves one request for a while.

No read deadline of pkg/proxy is in force when framing sets its own at the end of a body: the one for early responses is cleared with the head, the one for idle connections is set outside of exchanges.

TestCutResponseEndsReuse: a sound server keeps one connection, also if its response ends like the beginning of a status line.

--- a/pkg/proxy/exchange.go
+++ b/pkg/proxy/exchange.go
@@ -9,6 +9,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"corianderwood.example/corianderwood/pkg/framing"
 )
 
 // errUpgrade reports a 101 response. No request of this package asks for an upgrade.
@@ -126,8 +128,9 @@
 // readHeaders reads responses up to the final one.
 func (x *exchange) readHeaders(req *http.Request) error {
 	for range maxInterim {
-		resp, err := http.ReadResponse(x.conn.br, req)
+		resp, err := x.conn.br.ReadResponse(req)
 		if err != nil {
+			x.countInterruption(err)
 			if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
 				return fmt.Errorf("the connection was closed before the response: %w", err)
 			}
@@ -169,11 +172,22 @@
 	if err == io.EOF {
 		x.finish()
 	} else if err != nil {
+		x.countInterruption(err)
 		x.abandon()
 	}
 	return n, err
 }
 
+// countInterruption ends the reuse of connections if the error is that another response begins within
+// the response.
+func (x *exchange) countInterruption(err error) {
+	if isInterruption(err) {
+		x.pool.foundUnsolicited(foundWithinResponse)
+	}
+}
+
+func isInterruption(err error) bool { return errors.As(err, new(*framing.Interruption)) }
+
 // finish ends a complete exchange. The connection is returned to the pool if its
 // request was sent in full, neither side closes it and no bytes follow the response.
 func (x *exchange) finish() {
--- a/pkg/proxy/monitoring.go
+++ b/pkg/proxy/monitoring.go
@@ -36,9 +36,10 @@
 
 // Values of the found label of unsolicited responses.
 const (
-	foundOtherID       = "other-id"       // the response names another exchange
-	foundAfterResponse = "after-response" // bytes followed a complete response
-	foundIdle          = "idle"           // bytes were read on an idle connection
+	foundOtherID        = "other-id"        // the response names another exchange
+	foundWithinResponse = "within-response" // another response begins within the response
+	foundAfterResponse  = "after-response"  // bytes followed a complete response
+	foundIdle           = "idle"            // bytes were read on an idle connection
 )
 
 // Results of outcome queries.
@@ -67,7 +68,7 @@
 		opened:      vec("connections_opened_total", "Opened connections.", "kind"),
 		stalled:     vec("connections_silent_total", "Connections dropped because they were stalled: open, but transferring no data.", "kind"),
 		aborted:     vec("aborted_responses_total", "Responses aborted because the connection to a later hop broke.", "hop"),
-		unsolicited: vec("unsolicited_responses_total", "Responses, or bytes of some, that belong to no request in progress on their connection.", "kind", "found"),
+		unsolicited: vec("unsolicited_responses_total", "Responses, or bytes of some, that belong to no request in progress on their connection, by where they were found: idle, after-response, within-response, other-id.", "kind", "found"),
 		handshakes:  one("failed_handshakes_total", "Failed TLS handshakes at the peer listener."),
 		canceled:    one("canceled_calls_total", "Calls whose caller disconnected."),
 		running: prometheus.NewGaugeVec(prometheus.GaugeOpts{
--- a/pkg/proxy/peercall.go
+++ b/pkg/proxy/peercall.go
@@ -128,7 +128,11 @@
 		return nil, c.broken(ctx, x, err), false
 	}
 	if err != nil {
-		return nil, refuse(reason.UpstreamFailed, reason.RanYes, "the answer of the upstream was cut off: %v", err), false
+		ran := reason.RanYes
+		if isInterruption(err) {
+			ran = reason.RanUnknown // the head may be that of an earlier response
+		}
+		return nil, refuse(reason.UpstreamFailed, ran, "the answer of the upstream was cut off: %v", err), false
 	}
 	return ans, refusal{}, true
 }
--- a/pkg/proxy/pool.go
+++ b/pkg/proxy/pool.go
@@ -122,11 +122,7 @@
 		}
 		conn = secured
 	}
-	c := newPooledConn(conn, tcp)
-	if p.kind == kindPeer {
-		c.toNode = true
-		c.maxHeader += peerHeaderSlack
-	}
+	c := newPooledConn(conn, tcp, p.kind == kindPeer)
 	p.mu.Lock()
 	p.active[c] = true
 	p.mu.Unlock()
--- a/pkg/proxy/pooledconn.go
+++ b/pkg/proxy/pooledconn.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"sync/atomic"
 	"time"
+
+	"corianderwood.example/corianderwood/pkg/framing"
 )
 
 // errHeaderTooLarge reports a response whose headers exceed their bound.
@@ -19,7 +21,7 @@
 type pooledConn struct {
 	net.Conn
 	tcp net.Conn // the TCP connection below TLS, for the liveness check and closeNow
-	br  *bufio.Reader
+	br  *framing.Reader
 	bw  *bufio.Writer
 
 	toNode    bool   // the server is a node, which repeats HeaderExchange
@@ -40,10 +42,13 @@
 	notReusable  atomic.Bool  // must not be reused
 }
 
-func newPooledConn(conn, tcp net.Conn) *pooledConn {
-	c := &pooledConn{Conn: conn, tcp: tcp, opened: time.Now(), maxHeader: MaxHeaderBytes}
+func newPooledConn(conn, tcp net.Conn, toNode bool) *pooledConn {
+	c := &pooledConn{Conn: conn, tcp: tcp, toNode: toNode, opened: time.Now(), maxHeader: MaxHeaderBytes}
+	if toNode {
+		c.maxHeader += peerHeaderSlack
+	}
 	c.use.since = c.opened
-	c.br = bufio.NewReaderSize(c, 4<<10)
+	c.br = framing.NewReader(c, 4<<10, c.idHeader())
 	c.bw = bufio.NewWriterSize(c, 8<<10)
 	return c
 }
@@ -56,13 +61,21 @@
 	c.writeStarted.Store(false)
 }
 
+// idHeader returns the header by which a response of the server may name its exchange.
+func (c *pooledConn) idHeader() string {
+	if c.toNode {
+		return HeaderExchange
+	}
+	return HeaderCallID
+}
+
 // identify returns the id of a new exchange and adds it to a request to a node.
 func (c *pooledConn) identify(request http.Header) exchangeID {
 	if !c.toNode {
-		return exchangeID{HeaderCallID, request.Get(HeaderCallID)}
+		return exchangeID{c.idHeader(), request.Get(HeaderCallID)}
 	}
 	c.exchanges++
-	id := exchangeID{HeaderExchange, strconv.FormatUint(c.exchanges, 10)}
+	id := exchangeID{c.idHeader(), strconv.FormatUint(c.exchanges, 10)}
 	setHeader(request, id.header, id.value)
 	return id
 }
--- a/pkg/proxy/poolreuse_test.go
+++ b/pkg/proxy/poolreuse_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"strings"
 	"testing"
 	"time"
 
@@ -65,22 +66,27 @@
 // own response.
 func (r *reuseTest) send(path string) {
 	r.t.Helper()
-	conn, err := r.pool.get(r.t.Context(), idleTimeout)
+	got, err := r.try(path)
 	if err != nil {
 		r.t.Fatal(err)
 	}
-	req := &http.Request{Method: "GET", URL: &url.URL{Path: path}, Host: "x", Header: http.Header{}}
-	x, err := start(r.t.Context(), r.pool, conn, exchangeRequest{req: req})
-	if err != nil {
-		r.t.Fatal(err)
+	if string(got.body) != path {
+		r.t.Errorf("request %s got the response to %s", path, got.body)
 	}
-	got, err := readResponse(x, true)
+}
+
+// try sends one request over a connection of the pool.
+func (r *reuseTest) try(path string) (*response, error) {
+	conn, err := r.pool.get(r.t.Context(), idleTimeout)
 	if err != nil {
-		r.t.Fatal(err)
+		return nil, err
 	}
-	if string(got.body) != path {
-		r.t.Errorf("request %s got the response to %s", path, got.body)
+	req := &http.Request{Method: "GET", URL: &url.URL{Path: path}, Host: "x", Header: http.Header{}}
+	x, err := start(r.t.Context(), r.pool, conn, exchangeRequest{req: req})
+	if err != nil {
+		return nil, err
 	}
+	return readResponse(x, true)
 }
 
 // state returns the number of idle connections and whether their reuse is forbidden.
@@ -214,3 +220,33 @@
 		}
 	}
 }
+
+// Guards against connections that are reused after another response began within one, and against a
+// response that is whole, looks like the beginning of another one at its end, and costs a connection.
+func TestCutResponseEndsReuse(t *testing.T) {
+	for _, secure := range []bool{false, true} {
+		r := newReuseTest(t, secure, func(conn net.Conn, response string) {
+			if strings.HasSuffix(response, "/cut") {
+				response = response[:len(response)-1] + response
+			}
+			_, _ = io.WriteString(conn, response)
+		})
+		for _, path := range []string{"/0", "/HTTP/1.1", "/HTTP/1.1 200", "/3"} {
+			r.send(path)
+		}
+		if r.opened() != 1 {
+			t.Errorf("TLS %v: %v connections before the cut response, want 1", secure, r.opened())
+		}
+		if _, err := r.try("/cut"); !isInterruption(err) {
+			t.Errorf("TLS %v: the cut response ends with %v", secure, err)
+		}
+		if _, forbidden := r.state(); r.unsolicited(foundWithinResponse) != 1 || !forbidden {
+			t.Errorf("TLS %v: %v interruptions are counted, want 1; connections are reused: %v", secure, r.unsolicited(foundWithinResponse), !forbidden)
+		}
+		r.send("/4")
+		r.send("/5")
+		if r.opened() != 3 {
+			t.Errorf("TLS %v: %v connections, want 3", secure, r.opened())
+		}
+	}
+}
