proxy: find a copy that is taken for the response to an upload in progress

An upstream that names no exchange sends the copy of a response while the next request, an upload, is being sent. The copy is taken for its early response, since nothing tells them apart, and the connection was closed at once without anything being counted. So connections stayed in reuse, and none was idle to be watched.

The own response, or another copy, counts as bytes behind a response. An early response is followed by nothing and doesn't count; one that names its exchange, is the first on its connection or closes it ends at once as before. The writer of the upload is ended by its deadline.

--- a/pkg/proxy/exchange.go
+++ b/pkg/proxy/exchange.go
@@ -115,7 +115,7 @@
 		if err == nil {
 			err = x.conn.bw.Flush()
 		}
-		if x.body.failed != nil {
+		if x.body.failed != nil && !x.ended.Load() {
 			// The body can't be completed, and the server must not treat it as complete.
 			closeNow(x.conn)
 		}
@@ -189,7 +189,8 @@
 func isInterruption(err error) bool { return errors.As(err, new(*framing.Interruption)) }
 
 // finish ends a complete exchange. The connection is returned to the pool if its
-// request was sent in full, neither side closes it and no bytes follow the response.
+// request was sent in full, neither side closes it and no bytes follow the response. If the
+// request was not, the response is an early one or the copy of an earlier one.
 func (x *exchange) finish() {
 	if !x.ended.CompareAndSwap(false, true) {
 		return
@@ -205,17 +206,29 @@
 	}
 	live := x.stopCtx()
 	x.stopTimers()
-	if complete && x.conn.br.Buffered() > 0 {
+	followed := x.conn.br.Buffered() > 0
+	if followed && (complete || x.mayBeCopy()) {
 		x.pool.foundUnsolicited(foundAfterResponse)
 	}
-	if !complete || !live || x.resp.Close || x.conn.br.Buffered() > 0 {
-		x.release()
-		x.pool.discard(x.conn)
+	switch {
+	case !live || x.resp.Close || followed:
+	case complete:
+		x.pool.put(x.conn)
+		return
+	case x.mayBeCopy():
+		x.body.abandon()
+		_ = x.conn.SetWriteDeadline(alreadyPast) // ends the writer
+		go x.pool.watchAndDiscard(x.conn)
 		return
 	}
-	x.pool.put(x.conn)
+	x.release()
+	x.pool.discard(x.conn)
 }
 
+// mayBeCopy reports whether the response may be the copy of an earlier one on the connection. Then the own
+// one is still to come.
+func (x *exchange) mayBeCopy() bool { return x.conn.reused && !x.conn.use.named }
+
 // abandon closes the connection of an exchange that did not complete.
 func (x *exchange) abandon() {
 	if !x.ended.CompareAndSwap(false, true) {
--- a/pkg/proxy/pool.go
+++ b/pkg/proxy/pool.go
@@ -153,6 +153,16 @@
 	closeNow(c)
 }
 
+// watchAndDiscard closes a connection that can't be reused after restTime, unless bytes of the server are
+// found before.
+func (p *pool) watchAndDiscard(c *pooledConn) {
+	_ = c.readUnsolicited(time.Now().Add(restTime))
+	if c.unsolicited {
+		p.foundUnsolicited(foundAfterResponse)
+	}
+	p.discard(c)
+}
+
 // dropStalled closes the stalled connection c and the idle connections that were opened before
 // it, which probably are stalled too. Older connections in use are marked as not reusable;
 // their exchanges continue, because each has its own stall checks.
