--- a/pkg/framing/reader.go
+++ b/pkg/framing/reader.go
@@ -21,7 +21,8 @@
 	*bufio.Reader
 	conn       Conn
 	scanner    scanner
-	inspection inspection // of the response that is being read
+	inspection inspection // of the response that is being read, or was read last
+	inResponse bool       // a response is being read
 }
 
 // NewReader returns a reader of the connection with a buffer of the given size, in bytes. The marks
@@ -36,6 +37,12 @@
 type scanningReader struct{ *Reader }
 
 func (s scanningReader) Read(p []byte) (int, error) {
+	// A chunk is read to its end before the body checks, which may never come.
+	if s.inResponse {
+		if found := s.checkSoFar(); found != nil {
+			return 0, found
+		}
+	}
 	n, err := s.conn.Read(p[:min(len(p), maxRead)])
 	s.scanner.scan(p[:n])
 	return n, err
@@ -53,7 +60,8 @@
 	if found := r.checkSoFar(); found != nil {
 		return nil, found
 	}
-	if res.Body != http.NoBody {
+	r.inResponse = res.Body != http.NoBody
+	if r.inResponse {
 		res.Body = &body{ReadCloser: res.Body, reader: r}
 	}
 	return res, nil
@@ -65,7 +73,7 @@
 	buffered, _ := r.Peek(r.Buffered()) // returns no error for buffered bytes
 	r.scanner.reset(start)
 	r.scanner.scan(buffered)
-	r.inspection = inspection{scanner: &r.scanner, start: start}
+	r.inspection, r.inResponse = inspection{scanner: &r.scanner, start: start}, true
 }
 
 // offset returns the offset of the next byte to be read.
@@ -83,6 +91,7 @@
 // checkWhole tells whether another response begins within the response that ends here, and returns nil if
 // none does.
 func (r *Reader) checkWhole() *Interruption {
+	r.inResponse = false
 	end := r.offset()
 	result, other := r.inspection.atEnd(end)
 	if result == undecided {
