upstream: poll each time on a connection of its own

A failing upstream stayed in use: a late copy of an earlier good response was taken for the response to a health poll, and so on for each poll.

--- a/pkg/upstream/poller.go
+++ b/pkg/upstream/poller.go
@@ -21,8 +21,9 @@
 // NewPoller returns a poller for the upstream announced in r.
 func NewPoller(r *Registry) *Poller {
 	return &Poller{registry: r, client: http.Client{
-		Timeout:       pollTimeout,
-		Transport:     &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: 2 * pollInterval},
+		Timeout: pollTimeout,
+		// On a connection in use, a late copy of a response would be taken for the next one.
+		Transport:     &http.Transport{DisableKeepAlives: true},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
 }
@@ -31,7 +32,6 @@
 func (p *Poller) Run(ctx context.Context) {
 	tick := time.NewTicker(pollInterval)
 	defer tick.Stop()
-	defer p.client.CloseIdleConnections()
 	for {
 		select {
 		case <-ctx.Done():
