backend: look for waiting bytes before each request that must not run twice

Such requests were answered 502 without need: a further response without an id was already waiting on the idle connection, came first, and left the outcome unknown. The check for waiting bytes was left out on connections that had been idle for less than 20 ms.

It is made always for requests that must not run twice, one system call each. Others keep the connection: they go on to another server.

--- a/pkg/backend/client.go
+++ b/pkg/backend/client.go
@@ -12,6 +12,7 @@
 	"corianderwood.example/corianderwood/pkg/call"
 	"corianderwood.example/corianderwood/pkg/netconn"
 	"corianderwood.example/corianderwood/pkg/reason"
+	"corianderwood.example/corianderwood/pkg/routing"
 )
 
 // DecodeNotice decodes what a server says of itself in the headers of a response.
@@ -77,11 +78,7 @@
 // acquire returns an idle connection that has not carried a request with the same id, or opens
 // one.
 func (c *Client) acquire(ctx context.Context, req *call.Request) (*connection, error) {
-	maxIdle := defaultKeepAlive
-	if !req.Kind.Idempotent() {
-		maxIdle = maxIdleUnsafe
-	}
-	conn, repeated := c.takeUsable(req.ID, maxIdle)
+	conn, repeated := c.takeUsable(req.ID, req.Kind)
 	if repeated {
 		c.opts.Metrics.idRepeated(req.ID)
 	}
@@ -112,12 +109,12 @@
 // takeUsable removes connections from the pool that have not carried the id, the most recently
 // used first, until one is usable, and closes the others. It returns nil if none is. It also
 // reports whether a connection was passed over because it has carried the id.
-func (c *Client) takeUsable(id string, maxIdle time.Duration) (conn *connection, repeated bool) {
+func (c *Client) takeUsable(id string, kind routing.Kind) (conn *connection, repeated bool) {
 	now := time.Now()
 	for {
 		conn, passedOver := c.take(id)
 		repeated = repeated || passedOver
-		if conn == nil || conn.usable(now, maxIdle) {
+		if conn == nil || conn.usable(now, kind) {
 			return conn, repeated
 		}
 		_ = conn.Close()
--- a/pkg/backend/connection.go
+++ b/pkg/backend/connection.go
@@ -12,6 +12,7 @@
 	"corianderwood.example/corianderwood/pkg/boundedio"
 	"corianderwood.example/corianderwood/pkg/call"
 	"corianderwood.example/corianderwood/pkg/framing"
+	"corianderwood.example/corianderwood/pkg/routing"
 )
 
 // connection is one connection to the server. While an exchange uses it, nothing else
@@ -38,16 +39,18 @@
 }
 
 // usable reports whether an idle connection may be used for a request: it has not been
-// idle for too long, and the server has neither closed it nor sent data on it.
-func (c *connection) usable(now time.Time, maxIdle time.Duration) bool {
+// idle for too long, and the server has neither closed it nor sent data on it. The latter is checked
+// if it matters more than the cost of a further connection.
+func (c *connection) usable(now time.Time, kind routing.Kind) bool {
+	maxIdle := defaultKeepAlive
+	if !kind.Idempotent() {
+		maxIdle = maxIdleUnsafe
+	}
 	idle := now.Sub(c.idleSince)
 	if idle > maxIdle || idle > c.keepAlive-keepAliveMargin {
 		return false
 	}
-	if idle < livenessCheckAfter {
-		return true
-	}
-	return c.isOpenAndIdle()
+	return kind.Idempotent() && idle < livenessCheckAfter || c.isOpenAndIdle()
 }
 
 // isFirstRequest reports whether the request in progress is the first on the connection, so that
--- a/pkg/backend/tunables.go
+++ b/pkg/backend/tunables.go
@@ -12,7 +12,7 @@
 	// longer used, so that no request is sent while the server closes it.
 	keepAliveMargin = 500 * time.Millisecond
 	// livenessCheckAfter is the idle time after which a connection is checked for a close or
-	// unexpected bytes before it is used.
+	// unexpected bytes before it is used. For requests that must not run twice it is checked always.
 	livenessCheckAfter = 20 * time.Millisecond
 	// maxIdleUnsafe is the longest idle time of a connection that is used for a request
 	// that must not run twice. If the server has dropped the connection, the request
--- a/pkg/backend/unidentified_test.go
+++ b/pkg/backend/unidentified_test.go
@@ -63,3 +63,21 @@
 		}
 	}
 }
+
+// Guards against a request that must not run twice and is given up, because it was sent on a connection on which
+// a further response without an id was already waiting.
+func TestWaitingResponseSpoilsNextRequest(t *testing.T) {
+	const requests = 20
+	further := "HTTP/1.1 200 OK\r\nX-Signature: other\r\nContent-Length: 2\r\n\r\nok"
+	c := newClient(startTrailingServer(t, 0, time.Millisecond, further), testBodies)
+	served := 0
+	for i := range requests {
+		if res := c.Do(context.Background(), request(fmt.Sprint("r", i), routing.Unsafe), "i"); res.Status == http.StatusOK {
+			served++
+		}
+		time.Sleep(10 * time.Millisecond) // the further response arrives
+	}
+	if served < requests {
+		t.Errorf("%d of %d requests were served", served, requests)
+	}
+}
