--- a/review/standin2/client.go
+++ b/review/standin2/client.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,13 +23,16 @@
 	http   http.Client
 	record *record
 
+	// answered is called with the status of each answer, 0 if there is none.
+	answered func(id string, status int)
+
 	count atomic.Int64
 	mu    sync.Mutex
 	all   map[string]sent
 }
 
 func newClient(n *node, rec *record) *client {
-	return &client{node: n, record: rec, all: make(map[string]sent), http: http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 8}}}
+	return &client{node: n, record: rec, all: make(map[string]sent), answered: func(string, int) {}, http: http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 8}}}
 }
 
 // run sends safe requests until ctx ends.
@@ -44,19 +46,19 @@
 		case <-ctx.Done():
 			return
 		case <-tick.C:
-			pending.Go(func() { c.send(http.MethodGet, "/browse/x", "") })
+			pending.Go(c.send)
 		}
 	}
 }
 
 // send sends one request and records it with its answer.
-func (c *client) send(method, path, body string) int {
+func (c *client) send() {
 	id := fmt.Sprintf("%s-%d", c.node.name, c.count.Add(1))
 	ctx, cancel := context.WithTimeout(context.Background(), 2500*time.Millisecond)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.node.outbound()+path, strings.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.node.outbound()+"/browse/x", nil)
 	if err != nil {
-		return 0
+		return
 	}
 	req.Host = "shop.example"
 	req.Header.Set("X-Corianderwood-Request-Id", id)
@@ -65,17 +67,21 @@
 	c.all[id] = sent{id, time.Now(), c.node}
 	c.mu.Unlock()
 	c.record.add("sent      %s to %s", id, c.node.name)
+	status := c.exchange(req)
+	c.record.add("answered  %s: %d", id, status)
+	c.answered(id, status)
+}
+
+// exchange returns the status of a complete answer, or 0.
+func (c *client) exchange(req *http.Request) int {
 	res, err := c.http.Do(req)
 	if err != nil {
-		c.record.add("answered  %s: no answer", id)
 		return 0
 	}
 	defer res.Body.Close()
 	if _, err := io.Copy(io.Discard, res.Body); err != nil {
-		c.record.add("answered  %s: %d, cut", id, res.StatusCode)
 		return 0
 	}
-	c.record.add("answered  %s: %d", id, res.StatusCode)
 	return res.StatusCode
 }
 
--- a/review/standin2/departure.go
+++ b/review/standin2/departure.go
@@ -39,7 +39,7 @@
 		}
 		late = append(late, fmt.Sprintf("%s, sent %.3f s after the acknowledgement", id, s.at.Sub(acknowledged).Seconds()))
 	}
-	if err := m.begin(); err != nil {
+	if err := m.begin("1200ms", 40*time.Millisecond); err != nil {
 		return false, err
 	}
 	time.Sleep(4 * time.Second)
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -11,8 +11,15 @@
 // repository is the root of the repository, in which the nodes are started.
 var repository string
 
-var cases = map[string]func(m *mesh, trouble bool) (held bool, err error){
-	"departure": departure,
+// play is one case, played on nodes in the given zones.
+type play struct {
+	zones []string
+	run   func(m *mesh, trouble bool) (held bool, err error)
+}
+
+var cases = map[string]play{
+	"departure":   {[]string{"z-a", "z-b", "z-c"}, departure},
+	"slowversion": {[]string{"z-a", "z-b", "z-c", "z-a"}, slowVersion},
 }
 
 // Exit codes of a case.
@@ -25,7 +32,7 @@
 func main() { os.Exit(run()) }
 
 func run() int {
-	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
+	if len(os.Args) != 4 || cases[os.Args[1]].run == nil {
 		fmt.Fprintln(os.Stderr, "usage: meshcase CASE REPOSITORY RECORD")
 		return exitCouldNotRun
 	}
@@ -40,7 +47,7 @@
 		return exitCouldNotRun
 	}
 	defer rec.close()
-	m, err := newMesh(rec)
+	m, err := newMesh(rec, cases[os.Args[1]].zones)
 	if m != nil {
 		defer m.end()
 	}
@@ -48,7 +55,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitCouldNotRun
 	}
-	held, err := cases[os.Args[1]](m, os.Getenv("TROUBLE") != "0")
+	held, err := cases[os.Args[1]].run(m, os.Getenv("TROUBLE") != "0")
 	switch {
 	case err != nil:
 		m.say("the case could not run: %v", err)
--- a/review/standin2/mesh.go
+++ b/review/standin2/mesh.go
@@ -11,7 +11,7 @@
 	"time"
 )
 
-// mesh is a small deployment: three nodes in three zones with a server each, a store and clients.
+// mesh is a small deployment: nodes in three zones with a server each, a store and clients.
 type mesh struct {
 	folder  string
 	record  *record
@@ -24,23 +24,26 @@
 	pending sync.WaitGroup
 }
 
+// configurationWith returns a configuration with the given timeout of the safe route.
+func configurationWith(timeout string) []byte { return fmt.Appendf(nil, configuration, timeout) }
+
 const configuration = `{"version":"00000007","limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeout":"3000ms","idleTimeout":"15000ms"},` +
 	`"listeners":[{"host":"shop.example","rules":[` +
-	`{"name":"r-browse","kind":"safe","targetLatency":"400ms","priority":2,"match":{"prefix":"/browse/"},"action":{"service":"front","timeout":"1200ms","attempts":2}},` +
+	`{"name":"r-browse","kind":"safe","targetLatency":"400ms","priority":2,"match":{"prefix":"/browse/"},"action":{"service":"front","timeout":%q,"attempts":2}},` +
 	`{"name":"r-order","kind":"unsafe","targetLatency":"500ms","priority":1,"match":{"prefix":"/order/"},"action":{"service":"front","timeout":"1500ms","attempts":2}}]}],` +
 	`"clusters":[{"name":"front","healthPath":"/health","maxConnections":130,"protocol":"h1","tls":false}]}`
 
-func newMesh(rec *record) (*mesh, error) {
+func newMesh(rec *record, zones []string) (*mesh, error) {
 	folder, err := os.MkdirTemp("", "review-2-")
 	if err != nil {
 		return nil, err
 	}
 	m := &mesh{folder: folder, record: rec}
 	network := freeNetwork()
-	if m.store, err = newStore(network + ".4:8309"); err != nil {
+	if m.store, err = newStore(network + ".9:8309"); err != nil {
 		return m, err
 	}
-	for i, zone := range []string{"z-a", "z-b", "z-c"} {
+	for i, zone := range zones {
 		n, err := newNode(folder, fmt.Sprintf("n%d", i+1), fmt.Sprintf("%s.%d", network, i+1), zone, "front", m.store.address, rec)
 		if err != nil {
 			return m, err
@@ -52,8 +55,9 @@
 	return m, nil
 }
 
-// begin starts all processes and servers, waits until the nodes are ready, and starts the traffic.
-func (m *mesh) begin() error {
+// begin starts all processes and servers, waits until the nodes are ready, and starts the traffic: a request
+// at each node in each interval.
+func (m *mesh) begin(timeout string, interval time.Duration) error {
 	for _, n := range m.nodes {
 		if err := n.start(); err != nil {
 			return err
@@ -64,7 +68,7 @@
 			return err
 		}
 	}
-	m.store.put("op", "config", []byte(configuration))
+	m.store.put("op", "config", configurationWith(timeout))
 	for end := time.Now().Add(10 * time.Second); ; time.Sleep(50 * time.Millisecond) {
 		ready := 0
 		for _, n := range m.nodes {
@@ -82,7 +86,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	m.cancel = cancel
 	for _, c := range m.clients {
-		m.pending.Go(func() { c.run(ctx, 40*time.Millisecond) })
+		m.pending.Go(func() { c.run(ctx, interval) })
 	}
 	return nil
 }
--- a/review/standin2/node.go
+++ b/review/standin2/node.go
@@ -149,7 +149,7 @@
 	for i := range 200 {
 		prefix := fmt.Sprintf("127.%d.%d", 20+(os.Getpid()+i)%200, 1+(os.Getpid()/200+i)%250)
 		free := true
-		for host := 1; host <= 4 && free; host++ {
+		for host := 1; host <= 9 && free; host++ {
 			l, err := net.Listen("tcp4", fmt.Sprintf("%s.%d:9464", prefix, host))
 			if free = err == nil; free {
 				_ = l.Close()
--- a/review/standin2/server.go
+++ b/review/standin2/server.go
@@ -9,32 +9,42 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
 
 // server is a stand-in for an application server beside a node.
 type server struct {
-	id, service, address, control, zone string
-	born                                int64
-	slots                               chan struct{}
-	work                                time.Duration
-	record                              *record
+	id, service, address, control, zone, version string
+
+	born   int64
+	slots  chan struct{}
+	record *record
+	// work returns how long the next request takes.
+	work func() time.Duration
 
 	http *http.Server
 
 	mu   sync.Mutex
 	seq  int
 	stop chan struct{} // closed when no more heartbeats are sent
-	// ran is called for each request that the server begins to work on.
-	ran func(id string)
+	// ran is called for each request that the server begins to work on, answered with the status and
+	// the time that it took.
+	ran      func(id string)
+	answered func(id string, status int, took time.Duration)
 }
 
+// timerDelay is by how much the server notices late that a request's deadline has passed: timers fire
+// slightly late.
+const timerDelay = 3 * time.Millisecond
+
 func newServer(id, service, address, control, zone string, rec *record) *server {
 	return &server{
 		id: id, service: service, address: address, control: control, zone: zone, born: time.Now().UnixMilli(),
-		slots: make(chan struct{}, 9), work: 20 * time.Millisecond, record: rec, stop: make(chan struct{}),
-		ran: func(string) {},
+		version: "v1", slots: make(chan struct{}, 9), record: rec, stop: make(chan struct{}),
+		work: func() time.Duration { return 20 * time.Millisecond },
+		ran:  func(string) {}, answered: func(string, int, time.Duration) {},
 	}
 }
 
@@ -98,11 +108,19 @@
 		return
 	}
 	s.ran(id)
-	select {
-	case <-time.After(s.work):
-	case <-r.Context().Done():
-		return
+	began, work := time.Now(), s.work()
+	if ms, err := strconv.Atoi(r.Header.Get("X-Corianderwood-Deadline-Ms")); err == nil {
+		left := time.Duration(ms) * time.Millisecond
+		if work > left { // it stops at the deadline, also if its caller has left
+			time.Sleep(left + timerDelay)
+			s.answered(id, http.StatusGatewayTimeout, time.Since(began))
+			w.Header().Set("X-Corianderwood-Response-Signature", "504-"+id)
+			w.WriteHeader(http.StatusGatewayTimeout)
+			return
+		}
 	}
+	time.Sleep(work)
+	s.answered(id, http.StatusOK, time.Since(began))
 	out := []byte("done " + id + " by " + s.id + "\n")
 	h := fnv.New64a()
 	_, _ = h.Write(out)
@@ -117,7 +135,7 @@
 	defer s.mu.Unlock()
 	s.seq++
 	body, _ := json.Marshal(map[string]any{
-		"service": s.service, "address": s.address, "zone": s.zone, "version": "v1", "slots": cap(s.slots),
+		"service": s.service, "address": s.address, "zone": s.zone, "version": s.version, "slots": cap(s.slots),
 		"state": state, "cold_time": "0ms", "seq": s.seq, "born": s.born,
 	})
 	return body
--- a/review/standin2/store.go
+++ b/review/standin2/store.go
@@ -86,6 +86,13 @@
 	s.notify()
 }
 
+// value returns the value of a row with an empty part.
+func (s *store) value(table, key string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return string(s.rows[rowName(table, "", key)].Value)
+}
+
 // dump returns the keys of a table.
 func (s *store) dump(table string) (keys []string) {
 	s.mu.Lock()
