--- a/review/standin2/client.go
+++ b/review/standin2/client.go
@@ -25,6 +25,8 @@
 
 	// answered is called with the status of each answer, 0 if there is none.
 	answered func(id string, status int)
+	// received is called with each complete answer.
+	received func(id string, res *http.Response, body []byte)
 
 	count atomic.Int64
 	mu    sync.Mutex
@@ -32,7 +34,7 @@
 }
 
 func newClient(n *node, rec *record) *client {
-	return &client{node: n, record: rec, all: make(map[string]sent), answered: func(string, int) {}, http: http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 8}}}
+	return &client{node: n, record: rec, all: make(map[string]sent), answered: func(string, int) {}, received: func(string, *http.Response, []byte) {}, http: http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 8}}}
 }
 
 // run sends safe requests until ctx ends.
@@ -67,21 +69,23 @@
 	c.all[id] = sent{id, time.Now(), c.node}
 	c.mu.Unlock()
 	c.record.add("sent      %s to %s", id, c.node.name)
-	status := c.exchange(req)
+	status := c.exchange(id, req)
 	c.record.add("answered  %s: %d", id, status)
 	c.answered(id, status)
 }
 
 // exchange returns the status of a complete answer, or 0.
-func (c *client) exchange(req *http.Request) int {
+func (c *client) exchange(id string, req *http.Request) int {
 	res, err := c.http.Do(req)
 	if err != nil {
 		return 0
 	}
 	defer res.Body.Close()
-	if _, err := io.Copy(io.Discard, res.Body); err != nil {
+	body, err := io.ReadAll(res.Body)
+	if err != nil {
 		return 0
 	}
+	c.received(id, res, body)
 	return res.StatusCode
 }
 
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -19,6 +19,7 @@
 
 var cases = map[string]play{
 	"departure":   {[]string{"z-a", "z-b", "z-c"}, departure},
+	"cutanswer":   {[]string{"z-a", "z-b", "z-c"}, cutAnswer},
 	"slowversion": {[]string{"z-a", "z-b", "z-c", "z-a"}, slowVersion},
 }
 
--- a/review/standin2/server.go
+++ b/review/standin2/server.go
@@ -33,6 +33,8 @@
 	// the time that it took.
 	ran      func(id string)
 	answered func(id string, status int, took time.Duration)
+	// serve takes the server's connections instead of the usual handler; nil for the latter.
+	serve func(net.Conn)
 }
 
 // timerDelay is by how much the server notices late that a request's deadline has passed: timers fire
@@ -54,11 +56,25 @@
 		return err
 	}
 	s.http = &http.Server{Handler: s, IdleTimeout: 10 * time.Second}
-	go func() { _ = s.http.Serve(l) }()
+	if s.serve == nil {
+		go func() { _ = s.http.Serve(l) }()
+	} else {
+		go s.acceptRaw(l)
+	}
 	go s.beat()
 	return nil
 }
 
+func (s *server) acceptRaw(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go s.serve(c)
+	}
+}
+
 // exit ends the server like a process that exits.
 func (s *server) exit() {
 	s.mute()
