--- a/review/6/run.sh
+++ b/review/9/run.sh
@@ -6,4 +6,4 @@
 	echo "run the build of the deploy file and review/build-2.sh first" >&2
 	exit 2
 fi
-exec "$case_program" slowversion "$here/../.." "$here/record.txt"
+exec "$case_program" departure "$here/../.." "$here/record.txt"
