netconn: a reset that a write was told of does not end a response

The client got the part as the whole response.

Cause: the kernel reports a reset once for a connection. If the write in progress gets it, the read ends with EOF, as if the server had ended its stream, which is what tells the end of a response without a length.

Change: connections of netconn.Dial remember what the kernel has reported to a write, and a read returns that in place of EOF. If the kernel's state shows that only the server's stream has ended, EOF is returned at once; else the write in progress ends at once and is awaited. EPIPE is no such report: the kernel gives it for a reset behind the end of the stream. The clients of the store and of DynamoDB and S3 use such connections too.

--- a/pkg/backend/connection.go
+++ b/pkg/backend/connection.go
@@ -90,11 +90,11 @@
 // isOpenAndIdle reports whether the connection is open and has nothing to read, by a
 // non-blocking peek at the socket.
 func (c *connection) isOpenAndIdle() bool {
-	tcp, ok := c.Conn.(*net.TCPConn)
+	socket, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return true
 	}
-	raw, err := tcp.SyscallConn()
+	raw, err := socket.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/pkg/netconn/dial.go
+++ b/pkg/netconn/dial.go
@@ -40,10 +40,15 @@
 	return failed
 }
 
-// Dial opens a connection to an address of the form IP:port (IPv4).
+// Dial opens a connection to an address of the form IP:port (IPv4). It reports resets as those of
+// ReportResets do.
 func Dial(ctx context.Context, address string) (net.Conn, error) {
 	d := net.Dialer{Timeout: DialTimeout, KeepAliveConfig: keepAlive, Control: setUserTimeout}
-	return d.DialContext(ctx, "tcp4", address)
+	conn, err := d.DialContext(ctx, "tcp4", address)
+	if err != nil {
+		return nil, err
+	}
+	return ReportResets(conn), nil
 }
 
 // Listen opens a listener whose connections detect an unresponsive peer. The address has
--- a/pkg/platform/aws/options.go
+++ b/pkg/platform/aws/options.go
@@ -1,12 +1,15 @@
 package aws
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/http"
 
 	"github.com/aws/aws-sdk-go-v2/aws"
 	"github.com/aws/aws-sdk-go-v2/credentials"
+
+	"corianderwood.example/corianderwood/pkg/netconn"
 )
 
 // Options contain the location of the services and the credentials.
@@ -57,12 +60,18 @@
 }
 
 // NewHTTPClient returns a client that does not follow redirects, because following one
-// would send a request twice.
+// would send a request twice. Its connections report resets as those of netconn do.
 func NewHTTPClient() *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
+			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+				conn, err := dialer.DialContext(ctx, network, address)
+				if err != nil {
+					return nil, err
+				}
+				return netconn.ReportResets(conn), nil
+			},
 			TLSHandshakeTimeout: dialTimeout,
 			IdleConnTimeout:     idleTimeout,
 			MaxIdleConns:        maxIdleConnections,
