framing: responses whose head HTTP/1 doesn't allow are not passed on

Cause: what net/http reads as a head counted as one. It accepts names with blanks (then "Content Length" gives no length, and "Transfer-Encoding " no coding), joins a line that begins with a blank to the one before, and takes a line feed before a name for the empty line that ends the head, so that the rest of the head becomes the body. The line feed is the only control byte that passed.

Change: framing.Reader checks the lines of each head as its scanner has seen them, interim responses included, and the fields of the trailer: names and values by RFC 9110, no folded lines, line ends that are alike. CheckFinal checks names and values for clients of net/http, here the store's. Links check the fields of responses, since a node of an earlier version doesn't. Event 114 and its counter cover heads too.

Control bytes but the line feed were refused before, in names and values; these cases stay as tests. Unusual names and values, and heads with line feeds throughout, pass as before.

--- a/pkg/backend/client_test.go
+++ b/pkg/backend/client_test.go
@@ -100,6 +100,15 @@
 		{"status 000 after an interim one", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 x\r\nX-Id: r\r\nContent-Length: 0\r\n\r\n", 0, reason.RanUnknown, ""},
 		{"interim", "HTTP/1.1 103 Early Hints\r\n\r\n" + ok("r", "hello"), 200, reason.RanYes, "hello"},
 		{"version", "HTTP/3.7 200 OK\r\nX-Id: r\r\nX-Signature: s\r\nContent-Length: 2\r\n\r\nhi", 0, reason.RanUnknown, ""},
+		{"blank in a field name", "HTTP/1.1 200 OK\r\nX-Id: r\r\nX-Signature: s\r\nX Trouble: 1\r\nContent-Length: 2\r\n\r\nhi", 0, reason.RanUnknown, ""},
+		{"blank in a field name, not run", "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nX-Trouble : 1\r\nContent-Length: 0\r\n\r\n", 0, reason.RanUnknown, ""},
+		{"blank in a field name of an interim response", "HTTP/1.1 103 Early Hints\r\nX Trouble: 1\r\n\r\n" + ok("r", "hello"), 0, reason.RanUnknown, ""},
+		{"blank in a field name of a trailer", "HTTP/1.1 200 OK\r\nX-Id: r\r\nX-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\nX Sum: 1\r\n\r\n", 0, reason.RanUnknown, ""},
+		{"blank in the name of the length", "HTTP/1.1 200 OK\r\nX-Id: r\r\nX-Signature: s\r\nContent Length: 2\r\n\r\nhi and moreclose", 0, reason.RanUnknown, ""},
+		{"control byte in a field name", "HTTP/1.1 200 OK\r\nX-Id: r\r\nX-Signature: s\r\nX-\x01Trouble: 1\r\nContent-Length: 2\r\n\r\nhi", 0, reason.RanUnknown, ""},
+		{"line feed before a field name", "HTTP/1.1 200 OK\r\nX-Id: r\r\nX-Signature: s\r\nContent-Length: 2\r\n\nX-Trouble: 1\r\n\r\nhi", 0, reason.RanUnknown, ""},
+		{"folded line", "HTTP/1.1 200 OK\r\nX-Id: r\r\nX-Signature: s\r\n X-Trouble: 1\r\nContent-Length: 2\r\n\r\nhi", 0, reason.RanUnknown, ""},
+		{"unusual fields", "HTTP/1.1 200 OK\r\nX-Id: r\r\nX-Signature: s\r\n!#$%&'*+-.^_`|~: \x80\t\xff\r\nX-Empty:\r\nContent-Length: 2\r\n\r\nhi", 200, reason.RanYes, "hi"},
 		{"failed", "HTTP/1.1 500 Oops\r\nX-Id: r\r\nContent-Length: 2\r\n\r\nno", 500, reason.RanYes, "no"},
 	}
 	for _, test := range tests {
--- a/pkg/backend/monitoring.go
+++ b/pkg/backend/monitoring.go
@@ -19,7 +19,7 @@
 	// which bytes follow.
 	interruptions   *prometheus.CounterVec
 	unexpectedBytes prometheus.Counter
-	// invalid counts responses whose status or version HTTP/1 doesn't have.
+	// invalid counts responses whose status, version or fields HTTP/1 doesn't allow.
 	invalid prometheus.Counter
 	// responseLog and repeatedLog are apart, since a server that copies responses would use
 	// up the lines about repeated ids.
@@ -42,7 +42,7 @@
 		unexpectedBytes: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "corianderwood_server_bytes_after_response_total", Help: "Connections to the local server that were closed because bytes followed a complete response."}),
 		invalid: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "corianderwood_server_responses_invalid_total", Help: "Responses of the local server with a status or version that HTTP/1 doesn't have."}),
+			Name: "corianderwood_server_responses_invalid_total", Help: "Responses of the local server with a status, version, field or line of the head that HTTP/1 doesn't allow."}),
 		responseLog: event.NewLimitedLog(responseLogRate, responseLogRate),
 		repeatedLog: event.NewLimitedLog(repeatedLogRate, repeatedLogRate),
 	}
@@ -74,12 +74,11 @@
 }
 
 // notWhole records a response that could not be read, if that is because another one begins within it
-// or because its status is none of HTTP/1.
+// or because HTTP/1 doesn't allow its status or head.
 func (m *Metrics) notWhole(err error, id string, by framedBy, conn *connection) {
-	var status *framing.InvalidStatusError
-	if errors.As(err, &status) {
+	if errors.As(err, new(*framing.InvalidStatusError)) || errors.As(err, new(*framing.InvalidHeadError)) {
 		m.invalid.Inc()
-		m.responseLog.Write(event.UpstreamStatusInvalid, "request", id, "cause", status.Error(), "carried", conn.ids.len())
+		m.responseLog.Write(event.UpstreamResponseInvalid, "request", id, "cause", err.Error(), "carried", conn.ids.len())
 		return
 	}
 	var found *framing.Interruption
--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -53,7 +53,7 @@
 	UpstreamLimitLearned      = Event{438, Warning, "learned limit of the upstream fell below half of its slots"}
 	UpstreamLimitEnded        = Event{439, Info, "learned limit of the upstream is at least half of its slots again"}
 	ResourcesFreed            = Event{113, Warning, "connection or request was ended to free memory or descriptors"}
-	UpstreamStatusInvalid     = Event{114, Warning, "response of the upstream has a status or version that HTTP/1 doesn't have; it is not passed on"}
+	UpstreamResponseInvalid   = Event{114, Warning, "response of the upstream has a status, version or head that HTTP/1 doesn't allow; it is not passed on"}
 	UpstreamDraining          = Event{402, Info, "upstream is draining"}
 	UpstreamLost              = Event{403, Warning, "upstream stopped renewing its announcement"}
 	PeerUp                    = Event{303, Info, "link to a peer is up"}
@@ -118,7 +118,7 @@
 		MinRevisionKnown, MinRevisionUnknown, MinRevisionNotReplicated, StartRowsComplete, EvacuationStarted, EvacuationHeld, EvacuationEnded,
 		MeshJoined, MeshJoinFailed,
 		UpstreamAnnounced, UpstreamFailing, UpstreamRestored, UpstreamLimited, UpstreamLeaving, UpstreamNoticeMalformed, UpstreamDeparted, HeartbeatUnconfirmed, UpstreamIDRepeated, UpstreamResponseSkipped, UpstreamResponseWithoutID, UpstreamInterrupted, UpstreamCold, UpstreamMayHaveRestarted, UpstreamWarm, UpstreamLimitLearned, UpstreamLimitEnded, ConnectionsNotReused, ConnectionsReused, UpstreamDraining, UpstreamLost, HTTPServer,
-		SettingsReloaded, SettingsRejected, LogLinesDropped, AcceptFailed, PanicContained, SettingsUnknown, ResourcesFreed, UpstreamStatusInvalid, FreezeFound, FreezeOver, FreezesNotFound,
+		SettingsReloaded, SettingsRejected, LogLinesDropped, AcceptFailed, PanicContained, SettingsUnknown, ResourcesFreed, UpstreamResponseInvalid, FreezeFound, FreezeOver, FreezesNotFound,
 		PeerUp, PeerDown, PeerSilent, PeerFrameMalformed, PeerRowsApplied, PeerDiscovered, ConfigurationStale, ConfigurationFresh, FeedSubscribed, FeedUnsubscribed, AccountCoordinatorChanged, AccountSharesKnown, AccountSharesWriteFailed, AccountSharesRejected, AccountEpochKnown, AccountEpochProposed, AccountShareExpired, AccountShareUsed, AccountLimited, AccountQuotaUnavailable, HeartbeatMalformed, HeartbeatOutdated,
 		RequestMalformed, RequestNoRoute, RequestAttempt, RequestRefused, RequestFailed, RequestIDRepeated, RequestUnauthenticated, RequestResponseForeign, UpstreamUnreachable,
 		MoveOrdered, MoveOrderMalformed, VersionRejected, StoreHistoryTruncated, StoreReadRepeated,
--- a/pkg/framing/body.go
+++ b/pkg/framing/body.go
@@ -3,14 +3,16 @@
 import (
 	"errors"
 	"io"
+	"net/http"
 )
 
 // body is the body of a response. It does not deliver the bytes at which another response is
-// found, nor the end.
+// found, nor the end, nor the end before a trailer that HTTP/1 doesn't allow.
 type body struct {
 	io.ReadCloser
-	reader *Reader
-	err    error // what further reads return
+	reader   *Reader
+	response *http.Response
+	err      error // what further reads return
 }
 
 // Read implements io.Reader.
@@ -25,6 +27,10 @@
 	}
 	if found := check(); found != nil {
 		n, err = 0, found
+	} else if errors.Is(err, io.EOF) {
+		if invalid := checkFields(b.response.Trailer); invalid != nil {
+			n, err = 0, invalid
+		}
 	}
 	b.err = err
 	return n, err
--- a/pkg/framing/head.go
+++ b/pkg/framing/head.go
@@ -26,6 +26,8 @@
 	nested bool
 	// bareLF tells that the status line ends without a carriage return, as in most texts about HTTP.
 	bareLF bool
+	// fault is what HTTP/1 doesn't allow in the lines that were taken, or empty.
+	fault string
 	// mark is the first header by which the servers of the deployment are known, or empty.
 	mark Mark
 
@@ -130,6 +132,9 @@
 // add takes the next line, with its end, which ends at the offset.
 func (h *head) add(line []byte, end int64, marks []string) {
 	text := string(trimLineEnd(line))
+	if h.fault == "" {
+		h.fault = lineFault(text, bytes.HasSuffix(line, []byte("\r\n")) != h.bareLF)
+	}
 	name, value, isField := strings.Cut(text, ":")
 	if text != "" && !isFolded(text) && !isField || !mayBeHeaderLine([]byte(text)) {
 		h.state, h.end = broken, end
--- a/pkg/framing/inspection.go
+++ b/pkg/framing/inspection.go
@@ -10,9 +10,9 @@
 type inspection struct {
 	scanner *scanner
 	start   int64
-	// ownBareLF is the line end of the response's own head. Those of another response of the server
-	// are alike; those in a text about HTTP mostly are not.
-	ownBareLF bool
+	// own is the response's own head once it was read, open before that. The line ends of another response of
+	// the server are those of its own; those in a text about HTTP mostly are not.
+	own head
 	// hasMessages tells that the body is meant to hold HTTP messages.
 	hasMessages bool
 	// within is the first head that began within the response, if there was one; reach is the furthest end of the
@@ -62,13 +62,13 @@
 }
 
 // isText reports whether the head is a part of a text about HTTP, by its line ends.
-func (i *inspection) isText(h head) bool { return h.bareLF && !i.ownBareLF }
+func (i *inspection) isText(h head) bool { return h.bareLF && !i.own.bareLF }
 
 // note takes a head that lies before the end of the response.
 func (i *inspection) note(h head) {
 	switch {
 	case h.start == i.start:
-		i.ownBareLF = h.bareLF
+		i.own = h
 	case !i.isText(h):
 		if i.within == nil {
 			i.within = &h
--- a/pkg/framing/reader.go
+++ b/pkg/framing/reader.go
@@ -50,7 +50,8 @@
 
 // ReadResponse reads the head of the next response to a request. It returns an *InvalidStatusError if
 // the status or the version is none of HTTP/1. It, or the read that would end the body, returns an
-// *Interruption if another response begins within the response.
+// *InvalidHeadError if HTTP/1 doesn't allow a field or line, and an *Interruption if another response begins
+// within the response.
 func (r *Reader) ReadResponse(req *http.Request) (*http.Response, error) {
 	r.begin()
 	res, err := http.ReadResponse(r.Reader, req)
@@ -64,13 +65,30 @@
 	if found := r.checkSoFar(); found != nil {
 		return nil, found
 	}
+	if err := r.checkHead(); err != nil {
+		return nil, err
+	}
 	r.inResponse = res.Body != http.NoBody
 	if r.inResponse {
-		res.Body = &body{ReadCloser: res.Body, reader: r}
+		res.Body = &body{ReadCloser: res.Body, reader: r, response: res}
 	}
 	return res, nil
 }
 
+// checkHead returns an *InvalidHeadError if HTTP/1 doesn't allow the head that was read. net/http accepts
+// names with blanks, folded lines and line ends that differ.
+func (r *Reader) checkHead() error {
+	own := &r.inspection.own
+	switch {
+	case own.state == open:
+		return &InvalidHeadError{"a status line that is too long"}
+	case own.fault != "":
+		return &InvalidHeadError{own.fault}
+	default:
+		return nil
+	}
+}
+
 // begin scans what is buffered once more, as the bytes of the next response.
 func (r *Reader) begin() {
 	start := r.offset()
--- a/pkg/framing/scanner.go
+++ b/pkg/framing/scanner.go
@@ -103,6 +103,7 @@
 		return -1
 	default:
 		s.current.state, s.current.end = broken, s.total
+		s.current.fault = "a line that is too long"
 	}
 	if s.current.state == open {
 		return n
--- a/pkg/framing/status.go
+++ b/pkg/framing/status.go
@@ -19,21 +19,29 @@
 // IsFinalStatus reports whether a final response may have the status.
 func IsFinalStatus(status int) bool { return status >= 200 && status <= 599 }
 
-// CheckFinal returns an *InvalidStatusError if a final response has a status or version that HTTP/1
-// doesn't have. net/http accepts any version, codes such as 000 and 999, and a sign.
+// CheckFinal returns an *InvalidStatusError or an *InvalidHeadError if a final response that a client of
+// net/http has received has a status, version or field that HTTP/1 doesn't have. net/http accepts any version,
+// codes such as 000 and 999, a sign, and field names with blanks.
 func CheckFinal(res *http.Response) error {
+	if err := checkFinalStatus(res); err != nil {
+		return err
+	}
+	return checkFields(res.Header)
+}
+
+func checkFinalStatus(res *http.Response) error {
 	if IsFinalStatus(res.StatusCode) && isWellFormed(res) {
 		return nil
 	}
 	return &InvalidStatusError{Status: res.Status, Proto: res.Proto}
 }
 
-// checkStatus is CheckFinal, but also accepts interim responses.
+// checkStatus is checkFinalStatus, but also accepts interim responses.
 func checkStatus(res *http.Response) error {
 	if res.StatusCode/100 == 1 && isWellFormed(res) {
 		return nil
 	}
-	return CheckFinal(res)
+	return checkFinalStatus(res)
 }
 
 // isWellFormed reports whether the version is one of HTTP/1 and the status has three digits.
--- a/pkg/link/codec.go
+++ b/pkg/link/codec.go
@@ -58,8 +58,11 @@
 	}
 }
 
+// response returns the response of the peer, or one of unknown outcome if HTTP/1 doesn't allow its status or
+// fields.
 func (f responseFrame) response() call.Response {
-	if !framing.IsFinalStatus(f.Status) && (f.Status != 0 || f.Refusal == "") {
+	invalidStatus := !framing.IsFinalStatus(f.Status) && (f.Status != 0 || f.Refusal == "")
+	if invalidStatus || !framing.AreFieldLines(f.Head) {
 		return call.Response{Refusal: reason.UpstreamFailed, Ran: reason.RanUnknown, ReachedServer: true}
 	}
 	return call.Response{
