Clients of net/http check the responses that they read

A response with the status 000, the version HTTP/3.7 or a field name with a blank counted: the health check of a server gave a cold time, a health poll passed, an operator's edit and a write to DynamoDB or S3 counted as done, or as refused with another status.

Cause: net/http returns such responses to its callers, and only the store's client checked them.

Change: the health check, the polls of an upstream, the operators' clients and the client of DynamoDB and S3 call framing.CheckFinal. An edit or a write has an unknown outcome then. An HTTPClient that is set in the options is not checked, since it may speak HTTP/2.

Handled before: 000 as the status of a server's response, of the store, of a poll, and of DynamoDB and S3.

--- a/pkg/backend/broken_test.go
+++ b/pkg/backend/broken_test.go
@@ -223,6 +223,8 @@
 		{"HTTP/1.1 200 OK\r\nX-Cold: -1\r\nContent-Length: 0\r\n\r\n", 0, false},
 		{"HTTP/1.1 200 OK\r\nX-Cold: 1s\r\nContent-Length: 0\r\n\r\n", 0, false},
 		{"HTTP/1.1 200 OK\r\nX-Cold: 0\r\nX-Cold: 5\r\nContent-Length: 0\r\n\r\n", 0, false},
+		{"HTTP/1.1 000 Trouble\r\nX-Cold: 10\r\nContent-Length: 0\r\n\r\n", 0, false},
+		{"HTTP/1.1 200 OK\r\nX-Cold: 10\r\nX Trouble: 1\r\nContent-Length: 0\r\n\r\n", 0, false},
 		{"HTTP/1.1 200 OK\r\nX-Coclose", 0, false},
 		{"close", 0, false},
 	}
--- a/pkg/backend/health.go
+++ b/pkg/backend/health.go
@@ -10,6 +10,7 @@
 
 	"github.com/samber/oops"
 
+	"corianderwood.example/corianderwood/pkg/framing"
 	"corianderwood.example/corianderwood/pkg/netconn"
 )
 
@@ -33,6 +34,9 @@
 		return 0, oops.Wrapf(err, "health check of the server")
 	}
 	defer res.Body.Close()
+	if err := framing.CheckFinal(res); err != nil {
+		return 0, oops.Wrapf(err, "health check of the server")
+	}
 	_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, maxHealthBody)) // what it says is in the headers
 	return parseColdTime(res.Header.Values(c.opts.Headers.ColdTime))
 }
--- a/pkg/ctl/sidecarclient.go
+++ b/pkg/ctl/sidecarclient.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"corianderwood.example/corianderwood/pkg/framing"
 	"corianderwood.example/corianderwood/pkg/status"
 )
 
@@ -92,6 +93,9 @@
 		return d, err
 	}
 	defer res.Body.Close()
+	if err := framing.CheckFinal(res); err != nil {
+		return d, err
+	}
 	kind, _, _ := mime.ParseMediaType(res.Header.Get("Content-Type")) // an invalid type is not JSON either
 	switch {
 	case res.StatusCode == http.StatusServiceUnavailable:
--- a/pkg/ctl/sidecarexplain.go
+++ b/pkg/ctl/sidecarexplain.go
@@ -12,6 +12,7 @@
 	"github.com/spf13/cobra"
 
 	"corianderwood.example/corianderwood/pkg/explain"
+	"corianderwood.example/corianderwood/pkg/framing"
 	"corianderwood.example/corianderwood/pkg/operator"
 )
 
@@ -126,6 +127,9 @@
 		return answer, err
 	}
 	defer res.Body.Close()
+	if err := framing.CheckFinal(res); err != nil {
+		return answer, err
+	}
 	raw, err := io.ReadAll(io.LimitReader(res.Body, maxExplanationBytes))
 	if err != nil {
 		return answer, err
--- a/pkg/operator/client.go
+++ b/pkg/operator/client.go
@@ -9,6 +9,8 @@
 	"net"
 	"net/http"
 	"net/url"
+
+	"corianderwood.example/corianderwood/pkg/framing"
 )
 
 // Client is a client of the administration API of one node. Every error that its methods
@@ -105,6 +107,9 @@
 			Remedy: "check --address and the key files, or use the address of another node", cause: err}
 	}
 	defer response.Body.Close()
+	if err := framing.CheckFinal(response); err != nil {
+		return &Problem{Kind: KindUnreachable, Message: err.Error(), Remedy: "check that --address is that of a node, or use another one"}
+	}
 	decoder := json.NewDecoder(response.Body)
 	if response.StatusCode == http.StatusOK {
 		if err := decoder.Decode(result); err != nil {
--- a/pkg/platform/aws/options.go
+++ b/pkg/platform/aws/options.go
@@ -60,11 +60,12 @@
 }
 
 // NewHTTPClient returns a client that does not follow redirects, because following one
-// would send a request twice. Its connections report resets as those of netconn do.
+// would send a request twice. Its connections report resets as those of netconn do, and
+// responses that HTTP/1 doesn't allow are errors.
 func NewHTTPClient() *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: checkedTransport{&http.Transport{
 			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 				conn, err := dialer.DialContext(ctx, network, address)
 				if err != nil {
@@ -76,7 +77,7 @@
 			IdleConnTimeout:     idleTimeout,
 			MaxIdleConns:        maxIdleConnections,
 			MaxIdleConnsPerHost: maxIdleConnections,
-		},
+		}},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/pkg/platform/aws/reset_test.go
+++ b/pkg/platform/aws/reset_test.go
@@ -10,9 +10,9 @@
 	"time"
 )
 
-// resettingEndpoint starts a service that sends the text in response to each request, before it has read the
-// body, and then resets the connection.
-func resettingEndpoint(t *testing.T, text string) string {
+// answeringEndpoint starts a service that sends the text in response to each request, before it has read the
+// body, and then ends the connection as given.
+func answeringEndpoint(t *testing.T, text string, end func(conn *net.TCPConn)) string {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -31,8 +31,8 @@
 					return
 				}
 				_, _ = conn.Write([]byte(text))
-				time.Sleep(10 * time.Millisecond) // the response arrives before the reset
-				_ = conn.(*net.TCPConn).SetLinger(0)
+				time.Sleep(10 * time.Millisecond) // the response arrives before the end
+				end(conn.(*net.TCPConn))
 			}()
 		}
 	}()
@@ -43,7 +43,8 @@
 // response.
 func TestResetDuringWrite(t *testing.T) {
 	const writes = 60
-	endpoint := resettingEndpoint(t, "HTTP/1.1 200 OK\r\nContent-Type: application/x-amz-json-1.0\r\n\r\n")
+	head := "HTTP/1.1 200 OK\r\nContent-Type: application/x-amz-json-1.0\r\n\r\n"
+	endpoint := answeringEndpoint(t, head, func(conn *net.TCPConn) { _ = conn.SetLinger(0) })
 	client := NewHTTPClient()
 	defer client.CloseIdleConnections()
 	whole := 0
--- a/pkg/upstream/poller.go
+++ b/pkg/upstream/poller.go
@@ -7,6 +7,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"corianderwood.example/corianderwood/pkg/framing"
 )
 
 // Poller polls the health and load endpoints of the announced upstream. Its state is
@@ -83,6 +85,9 @@
 		return nil, err
 	}
 	defer resp.Body.Close()
+	if err := framing.CheckFinal(resp); err != nil {
+		return nil, err
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes))
 	if err == nil && resp.StatusCode != http.StatusOK {
 		err = fmt.Errorf("status %d", resp.StatusCode)
