backend: the fuzz target checks the heads that pass

Change: a head that is passed on must consist of field lines that framing allows; two seeds with blanks and a line feed.

--- a/pkg/backend/fuzz_test.go
+++ b/pkg/backend/fuzz_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"corianderwood.example/corianderwood/pkg/boundedio"
+	"corianderwood.example/corianderwood/pkg/framing"
 	"corianderwood.example/corianderwood/pkg/reason"
 	"corianderwood.example/corianderwood/pkg/routing"
 )
@@ -30,6 +31,7 @@
 	for _, seed := range []string{
 		ok("r", "hello"), ok("old", "other") + ok("r", "hello"), "HTTP/1.1 100 Continue\r\n\r\n" + ok("r", "x"),
 		"HTTP/1.1 200 OK\r\nX-Id: r\r\nX-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX-Id: r\r\nX-Signature: s\r\nX Trouble: 1\r\nContent-Length: 2\r\n\r\nhi", "HTTP/1.1 200 OK\r\nX-Id: r\r\nX-Signature: s\r\n\nX-Trouble : 1\r\n\r\nhi",
 		"HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 204\r\n\r\n", "HTTP/1.1 500 x\r\nContent-Length: 99999999999\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nX-Id: r\r\nX-Id: s\r\nKeep-Alive: timeout=99999999999999999999, timeout=9223372036854775807\r\nContent-Length: 0\r\n\r\n",
 	} {
@@ -57,6 +59,9 @@
 	if len(earlier) > 0 && res.Status != 0 && !bytes.Contains(bytes.ToLower(data), []byte("x-id:")) {
 		t.Errorf("a response without an id is taken though the connection has carried another request: %+v", res)
 	}
+	if !framing.AreFieldLines(res.Head) {
+		t.Errorf("a head that HTTP/1 doesn't allow is passed on: %q", res.Head)
+	}
 	if res.Status == 0 && res.Ran == reason.RanNo {
 		t.Errorf("without a response the request is reported as not run: %+v", res)
 	}
--- a/pkg/framing/doc.go
+++ b/pkg/framing/doc.go
@@ -13,4 +13,8 @@
 // framing shows that it is no part of the body: the message that it begins reaches the end of
 // the response or beyond, or the bytes behind the response don't begin a message. The line ends of a
 // head tell it from a text.
+//
+// A response with a head or trailer that HTTP/1 doesn't allow is no response: a parser that accepts it may
+// take other bytes for the body than the server has sent as such. Which status and fields are allowed is said here
+// for all that read responses.
 package framing
