framing: a transfer coding in HTTP/1.0 is refused

Cause: net/http ignores the field in HTTP/1.0 and reads to the end of the connection. It is one more head that HTTP/1 doesn't allow and net/http accepts.

Change: framing.Reader refuses such a head, with a length or without. pkg/proxy refused those without a length before.

HTTP/1.0 with a length and HTTP/1.1 with chunks pass as before.

--- a/pkg/backend/client_test.go
+++ b/pkg/backend/client_test.go
@@ -107,6 +107,7 @@
 		{"blank in the name of the length", "HTTP/1.1 200 OK\r\nX-Id: r\r\nX-Signature: s\r\nContent Length: 2\r\n\r\nhi and moreclose", 0, reason.RanUnknown, ""},
 		{"control byte in a field name", "HTTP/1.1 200 OK\r\nX-Id: r\r\nX-Signature: s\r\nX-\x01Trouble: 1\r\nContent-Length: 2\r\n\r\nhi", 0, reason.RanUnknown, ""},
 		{"line feed before a field name", "HTTP/1.1 200 OK\r\nX-Id: r\r\nX-Signature: s\r\nContent-Length: 2\r\n\nX-Trouble: 1\r\n\r\nhi", 0, reason.RanUnknown, ""},
+		{"coding in HTTP/1.0", "HTTP/1.0 200 OK\r\nX-Id: r\r\nX-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\nclose", 0, reason.RanUnknown, ""},
 		{"folded line", "HTTP/1.1 200 OK\r\nX-Id: r\r\nX-Signature: s\r\n X-Trouble: 1\r\nContent-Length: 2\r\n\r\nhi", 0, reason.RanUnknown, ""},
 		{"unusual fields", "HTTP/1.1 200 OK\r\nX-Id: r\r\nX-Signature: s\r\n!#$%&'*+-.^_`|~: \x80\t\xff\r\nX-Empty:\r\nContent-Length: 2\r\n\r\nhi", 200, reason.RanYes, "hi"},
 		{"failed", "HTTP/1.1 500 Oops\r\nX-Id: r\r\nContent-Length: 2\r\n\r\nno", 500, reason.RanYes, "no"},
--- a/pkg/framing/reader.go
+++ b/pkg/framing/reader.go
@@ -65,7 +65,7 @@
 	if found := r.checkSoFar(); found != nil {
 		return nil, found
 	}
-	if err := r.checkHead(); err != nil {
+	if err := r.checkHead(res); err != nil {
 		return nil, err
 	}
 	r.inResponse = res.Body != http.NoBody
@@ -76,14 +76,17 @@
 }
 
 // checkHead returns an *InvalidHeadError if HTTP/1 doesn't allow the head that was read. net/http accepts
-// names with blanks, folded lines and line ends that differ.
-func (r *Reader) checkHead() error {
+// names with blanks, folded lines and line ends that differ, and ignores a transfer coding in HTTP/1.0, so that
+// the coded bytes would be the body.
+func (r *Reader) checkHead(res *http.Response) error {
 	own := &r.inspection.own
 	switch {
 	case own.state == open:
 		return &InvalidHeadError{"a status line that is too long"}
 	case own.fault != "":
 		return &InvalidHeadError{own.fault}
+	case own.chunked && !res.ProtoAtLeast(1, 1):
+		return &InvalidHeadError{"a transfer coding in HTTP/1.0"}
 	default:
 		return nil
 	}
