sidecar: a late heartbeat of a server that left is used for a limited time only

Cause: the departure ends with the processes that know it. A new process took one heartbeat for true unless it had failed to read the store itself or no peer knew the server; neither says that no departure was lost.

Change: a server that started before the process needs a second heartbeat to be used without a limit.

--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -40,7 +40,8 @@
 	UpstreamNoticeMalformed   = Event{416, Warning, "notice of the upstream in a response can't be read and is ignored"}
 	UpstreamRestored          = Event{412, Info, "upstream state is restored from a peer until the next heartbeat"}
 	UpstreamDeparted          = Event{417, Info, "upstreams beside this node have left, as a peer or the store says; late heartbeats of them are ignored"}
-	HeartbeatUnconfirmed      = Event{418, Info, "upstream is used after its next heartbeat: the store was away when the node started"}
+	HeartbeatUnconfirmed      = Event{418, Info, "upstream is used after its next heartbeat: it may have left before the node started"}
+	UpstreamProvisional       = Event{440, Info, "upstream is used for a limited time until its next heartbeat: it may have left before the node started"}
 	UpstreamIDRepeated        = Event{420, Info, "idle connection to the upstream has carried the id of this request before"}
 	UpstreamResponseSkipped   = Event{421, Warning, "upstream sent a response that is not the one to the request in progress; it is not passed on"}
 	UpstreamResponseWithoutID = Event{422, Warning, "response of the upstream has no request id; the connection is closed after it"}
@@ -117,7 +118,7 @@
 		RevisionInForce, RevisionRejected, EditAccepted, EditRefused, EditUnknown,
 		MinRevisionKnown, MinRevisionUnknown, MinRevisionNotReplicated, StartRowsComplete, EvacuationStarted, EvacuationHeld, EvacuationEnded,
 		MeshJoined, MeshJoinFailed,
-		UpstreamAnnounced, UpstreamFailing, UpstreamRestored, UpstreamLimited, UpstreamLeaving, UpstreamNoticeMalformed, UpstreamDeparted, HeartbeatUnconfirmed, UpstreamIDRepeated, UpstreamResponseSkipped, UpstreamResponseWithoutID, UpstreamInterrupted, UpstreamCold, UpstreamMayHaveRestarted, UpstreamWarm, UpstreamLimitLearned, UpstreamLimitEnded, ConnectionsNotReused, ConnectionsReused, UpstreamDraining, UpstreamLost, HTTPServer,
+		UpstreamAnnounced, UpstreamFailing, UpstreamRestored, UpstreamLimited, UpstreamLeaving, UpstreamNoticeMalformed, UpstreamDeparted, HeartbeatUnconfirmed, UpstreamProvisional, UpstreamIDRepeated, UpstreamResponseSkipped, UpstreamResponseWithoutID, UpstreamInterrupted, UpstreamCold, UpstreamMayHaveRestarted, UpstreamWarm, UpstreamLimitLearned, UpstreamLimitEnded, ConnectionsNotReused, ConnectionsReused, UpstreamDraining, UpstreamLost, HTTPServer,
 		SettingsReloaded, SettingsRejected, LogLinesDropped, AcceptFailed, PanicContained, SettingsUnknown, ResourcesFreed, UpstreamResponseInvalid, FreezeFound, FreezeOver, FreezesNotFound,
 		PeerUp, PeerDown, PeerSilent, PeerFrameMalformed, PeerRowsApplied, PeerDiscovered, ConfigurationStale, ConfigurationFresh, FeedSubscribed, FeedUnsubscribed, AccountCoordinatorChanged, AccountSharesKnown, AccountSharesWriteFailed, AccountSharesRejected, AccountEpochKnown, AccountEpochProposed, AccountShareExpired, AccountShareUsed, AccountLimited, AccountQuotaUnavailable, HeartbeatMalformed, HeartbeatOutdated,
 		RequestMalformed, RequestNoRoute, RequestAttempt, RequestRefused, RequestFailed, RequestIDRepeated, RequestUnauthenticated, RequestResponseForeign, UpstreamUnreachable,
--- a/pkg/instance/tracker.go
+++ b/pkg/instance/tracker.go
@@ -28,7 +28,8 @@
 	known         bool
 	lastHeartbeat time.Time // time of the last accepted heartbeat
 	drainingSince time.Time // when the node received, and so acknowledged, the drain; zero while ready
-	restoredUntil time.Time // until when a restored server is current; zero after a heartbeat
+	restored      bool      // the server was restored and has sent no heartbeat
+	currentUntil  time.Time // until when the server is current at most; zero without such a limit
 	// departures are those of servers that ran beside the node, this process or an earlier one.
 	// An incarnation that has left can't become Ready, even if this process never knew it.
 	departures Departures
@@ -42,6 +43,12 @@
 // Observe processes one valid heartbeat. An incarnation that is draining or deregistered
 // can't become Ready again.
 func (t *Tracker) Observe(now time.Time, s Server) Effect {
+	return t.ObserveUntil(now, s, time.Time{})
+}
+
+// ObserveUntil is Observe for a heartbeat that makes its server current until the given time
+// at most; zero means no limit besides the expiry.
+func (t *Tracker) ObserveUntil(now time.Time, s Server, until time.Time) Effect {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if s.State != Ready {
@@ -61,7 +68,7 @@
 	if s.State != Ready && t.drainingSince.IsZero() {
 		t.drainingSince = now
 	}
-	t.server, t.known, t.lastHeartbeat, t.restoredUntil = s, true, now, time.Time{}
+	t.server, t.known, t.lastHeartbeat, t.restored, t.currentUntil = s, true, now, false, until
 	if changed {
 		return Changed
 	}
@@ -96,7 +103,7 @@
 		return false
 	}
 	t.departures = t.departures.With(Departure{Incarnation: t.server.Incarnation()})
-	t.server.State, t.lastHeartbeat, t.restoredUntil = Deregistered, now, time.Time{}
+	t.server.State, t.lastHeartbeat, t.restored, t.currentUntil = Deregistered, now, false, time.Time{}
 	if t.drainingSince.IsZero() {
 		t.drainingSince = now
 	}
@@ -137,11 +144,11 @@
 func (t *Tracker) Restore(now time.Time, s Server, until time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.known && (t.restoredUntil.IsZero() || t.server.StartedAtMS >= s.StartedAtMS) || !now.Before(until) || t.departures.Cover(s) {
+	if t.known && (!t.restored || t.server.StartedAtMS >= s.StartedAtMS) || !now.Before(until) || t.departures.Cover(s) {
 		return false
 	}
 	s.Sequence = 0
-	t.server, t.known, t.lastHeartbeat, t.restoredUntil = s, true, now, until
+	t.server, t.known, t.lastHeartbeat, t.restored, t.currentUntil = s, true, now, true, until
 	return true
 }
 
@@ -150,10 +157,10 @@
 func (t *Tracker) DropRestored() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.restoredUntil.IsZero() {
+	if !t.restored {
 		return false
 	}
-	t.known, t.restoredUntil = false, time.Time{}
+	t.known, t.restored, t.currentUntil = false, false, time.Time{}
 	return true
 }
 
@@ -166,11 +173,11 @@
 }
 
 // Current returns the current incarnation. It returns false if none is known, its last
-// heartbeat is older than the expiry, or the time of a restored server has passed.
+// heartbeat is older than the expiry, or the time until which it is current has passed.
 func (t *Tracker) Current(now time.Time) (Server, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.known || now.Sub(t.lastHeartbeat) > t.expiry || !t.restoredUntil.IsZero() && !now.Before(t.restoredUntil) {
+	if !t.known || now.Sub(t.lastHeartbeat) > t.expiry || !t.currentUntil.IsZero() && !now.Before(t.currentUntil) {
 		return Server{}, false
 	}
 	return t.server, true
--- a/pkg/instance/tracker_test.go
+++ b/pkg/instance/tracker_test.go
@@ -180,3 +180,24 @@
 		t.Error("departures that are too early to be kept count as missing")
 	}
 }
+
+// Guards against a server that stays current after the time for which an unconfirmed heartbeat
+// counts, and against one that a confirmed heartbeat does not make current again.
+func TestServerCurrentForLimitedTime(t *testing.T) {
+	tracker := NewTracker(5 * time.Second)
+	until := start.Add(time.Second)
+	tracker.ObserveUntil(start, heartbeat("a", 1, 4, Ready), until)
+	if _, ok := tracker.Current(until.Add(-time.Millisecond)); !ok {
+		t.Error("the server is not current before the time has passed")
+	}
+	if _, ok := tracker.Current(until); ok {
+		t.Error("the server is current after the time has passed")
+	}
+	if tracker.DropRestored() {
+		t.Error("a server that has sent a heartbeat is taken for a restored one")
+	}
+	tracker.Observe(until, heartbeat("a", 1, 5, Ready))
+	if _, ok := tracker.Current(until.Add(time.Second)); !ok {
+		t.Error("the server is not current after a confirmed heartbeat")
+	}
+}
--- a/pkg/sidecar/bounds.go
+++ b/pkg/sidecar/bounds.go
@@ -10,6 +10,8 @@
 	// Drain is how long a server may still receive requests after its drain request
 	// was acknowledged.
 	Drain time.Duration
+	// Settle is how long a process must have run undisturbed until the other bounds bind it.
+	Settle time.Duration
 	// Grace is the time between the stop signal and the forced kill of the process.
 	Grace time.Duration
 	// ExposureShare and ExposureExtra limit the requests sent to a faulty version
@@ -41,7 +43,7 @@
 
 // DefaultBounds are the bounds of both current deployments.
 var DefaultBounds = Bounds{
-	ConfigApply: 2 * time.Second, Drain: 2 * time.Second, Grace: 6 * time.Second, ExposureShare: 0.1, ExposureExtra: 50,
+	ConfigApply: 2 * time.Second, Drain: 2 * time.Second, Settle: 3 * time.Second, Grace: 6 * time.Second, ExposureShare: 0.1, ExposureExtra: 50,
 	RetryRatio: 0.2, RetryExtra: 64, RetryWindow: 10 * time.Second,
 	Revoke: 5 * time.Second, QuotaWindow: 5 * time.Second, QuotaOverage: 0.1, QuotaSlack: 20,
 	ColdOverage: 1.5, ColdSlack: 8,
--- a/pkg/sidecar/follow.go
+++ b/pkg/sidecar/follow.go
@@ -61,7 +61,7 @@
 			}
 			n.metrics.storeFailures.Inc()
 			if table == meshTable && !n.cache.Loaded(table) {
-				n.confirmation.required.Store(true)
+				n.confirmation.storeAway.Store(true)
 			}
 			if n.stopFollowing(table) {
 				n.peers.announceVersions()
--- a/pkg/sidecar/node.go
+++ b/pkg/sidecar/node.go
@@ -35,24 +35,23 @@
 	// startedAt is when New created the node.
 	startedAt time.Time
 
-	cache      *rowcache.Cache
-	tracker    *instance.Tracker
-	admission  *admission.Controller
-	client     *backend.Client // of the local server
-	running    *admission.InFlight
-	selector   *placement.Selector
-	rollouts   *rollout.Tracker
-	recorder   *rollout.Recorder
-	dispatcher *dispatch.Dispatcher
-	refusals   *dispatch.Metrics
-	ingress    *ingress.Server
-	peers      *peers
-	departures *departureRecorder
-	starting   startGate
-	startRows  *startRows
-	recheck    chan struct{} // holds a value if applyRows has to run although no row has changed
-	// confirmation applies to heartbeats of servers that this process does not know.
-	confirmation heartbeatConfirmation
+	cache        *rowcache.Cache
+	tracker      *instance.Tracker
+	admission    *admission.Controller
+	client       *backend.Client // of the local server
+	running      *admission.InFlight
+	selector     *placement.Selector
+	rollouts     *rollout.Tracker
+	recorder     *rollout.Recorder
+	dispatcher   *dispatch.Dispatcher
+	refusals     *dispatch.Metrics
+	ingress      *ingress.Server
+	peers        *peers
+	departures   *departureRecorder
+	starting     startGate
+	startRows    *startRows
+	recheck      chan struct{} // holds a value if applyRows has to run although no row has changed
+	confirmation *heartbeatConfirmation
 	uplink       *uplink.Scheduler
 	links        link.Shared
 	limits       *accountLimits
@@ -159,7 +158,7 @@
 	n.peers = newPeers(n)
 	n.departures = newDepartureRecorder(n)
 	n.cold.log = event.NewLimitedLog(coldLogRate, coldLogRate)
-	n.confirmation.processStartedAtMS = n.startedAt.UnixMilli()
+	n.confirmation = newHeartbeatConfirmation(n.startedAt, s)
 	return n
 }
 
--- a/pkg/sidecar/registrar.go
+++ b/pkg/sidecar/registrar.go
@@ -14,31 +14,40 @@
 
 // Heartbeat processes a valid heartbeat and reports whether it is acknowledged. A server that
 // is ready is used once this node knows which servers have left; the newest of its heartbeats
-// is enough then.
+// is processed then.
 func (r *registrar) Heartbeat(s instance.Server) bool {
 	n := (*Node)(r)
 	if s.State == instance.Ready {
-		n.confirmation.note(s)
+		n.confirmation.note(time.Now(), s)
 		n.starting.do("heartbeat", func() { n.observeReady(s) })
 		return true
 	}
-	n.observeHeartbeat(s)
+	n.observeHeartbeat(s, time.Time{})
 	return n.preserveDepartures()
 }
 
-// observeReady processes the heartbeat of a server that is ready.
+// observeReady processes the heartbeat of a server that is ready. Before it is confirmed, the
+// server is used for a limited time, so that its service does not wait for its next heartbeat
+// after each restart. If the store was away, only what a peer knows of the server allows that.
 func (n *Node) observeReady(s instance.Server) {
-	if !n.confirmation.note(s) && !n.tracker.Knows(s) {
-		event.HeartbeatUnconfirmed.Log("server", s.ID, "born", s.StartedAtMS, "sequence", s.Sequence)
-		return
+	now := time.Now()
+	confirmed, until := n.confirmation.note(now, s)
+	if !confirmed {
+		if !now.Before(until) || n.confirmation.storeAway.Load() && !n.tracker.Knows(s) {
+			event.HeartbeatUnconfirmed.Log("server", s.ID, "born", s.StartedAtMS, "sequence", s.Sequence)
+			return
+		}
+		event.UpstreamProvisional.Log("server", s.ID, "born", s.StartedAtMS, "sequence", s.Sequence, "for", until.Sub(now))
 	}
-	n.observeHeartbeat(s)
+	n.observeHeartbeat(s, until)
 }
 
-func (n *Node) observeHeartbeat(s instance.Server) {
+// observeHeartbeat processes a heartbeat whose server is used until the given time at most; zero
+// means without end.
+func (n *Node) observeHeartbeat(s instance.Server, until time.Time) {
 	now := time.Now()
 	before, known := n.tracker.Current(now)
-	effect := n.tracker.Observe(now, s)
+	effect := n.tracker.ObserveUntil(now, s, until)
 	if effect == instance.Outdated {
 		if n.malformed.Allow() {
 			event.HeartbeatOutdated.Log("server", s.ID, "born", s.StartedAtMS, "sequence", s.Sequence, "state", s.State)
--- a/pkg/sidecar/tunables.go
+++ b/pkg/sidecar/tunables.go
@@ -117,8 +117,15 @@
 	maxMissedHeartbeats = 4
 	// restoreMargin is the safety margin for the state of the local server restored from
 	// a peer: it stays valid for one heartbeat interval plus the margin, and expires at
-	// least the margin before Bounds.Drain.
+	// least the margin before Bounds.Drain. A server with an unconfirmed heartbeat is used
+	// for the same time after it.
 	restoreMargin = 300 * time.Millisecond
+	// processStartTime is the longest time from the start of a process until New, which an
+	// instance with a share of a processor takes.
+	processStartTime = 100 * time.Millisecond
+	// minHeartbeatSpacing is the least time between two heartbeats of which the second confirms
+	// the first, as a share of their interval.
+	minHeartbeatSpacing = 0.2
 	// failingRate is the failure rate above which the local server is announced to peers
 	// as failing, recoveredRate the rate at which it is announced as recovered.
 	failingRate   = 0.3
