admission: a request that runs out of time at its server counts as failed

Cause: outcomes of canceled requests count for nothing, since a caller that leaves says nothing of the server. The context of a repeatable request also ends at its deadline, before a 504 that is a few milliseconds late, or without any response. What remained were the version's good responses.

Change: a canceled request counts as failed if it reached the server and used up its time there, and that was at least the usual service time. The time decides, since a peer cancels at its deadline in the same way as for a caller that leaves, and clients leave at their own deadline.

--- a/pkg/admission/controller.go
+++ b/pkg/admission/controller.go
@@ -421,12 +421,21 @@
 	return ""
 }
 
-// observe records an outcome in the statistics. If the caller canceled the request, the
-// server only counts as failing if it took much longer than usual.
+// timedOut reports whether a request whose context has ended had used up its time at the server,
+// and that time was enough for the usual service time. The context does not tell: the node that
+// received the request cancels it at its deadline as well as when the caller leaves. The caller
+// holds mu.
+func (c *Controller) timedOut(now time.Time, req *call.Request, res call.Response, took time.Duration) bool {
+	given := req.Deadline.Sub(now) + took
+	return res.ReachedServer && took >= c.times.expected(req.Route, 0) && float64(took) >= usedUpShare*float64(given)
+}
+
+// observe records an outcome in the statistics. If the caller canceled the request before its
+// time was up, the server only counts as failing if it took much longer than usual.
 func (c *Controller) observe(ctx context.Context, req *call.Request, version string, res call.Response, took time.Duration, running int) {
-	canceled := ctx.Err() != nil
 	now := time.Now()
 	c.mu.Lock()
+	canceled := ctx.Err() != nil && !c.timedOut(now, req, res, took)
 	if !canceled || took > hangFactor*c.times.expected(req.Route, 0) {
 		c.failures.observe(now, canceled || Failed(res))
 	}
--- a/pkg/admission/observer.go
+++ b/pkg/admission/observer.go
@@ -10,7 +10,7 @@
 // failures to connect. It must not block.
 type Observer interface {
 	// Served is called with the response, the version of the server and the time that
-	// the server took, unless the caller canceled the request.
+	// the server took, unless the caller canceled the request before its time was up.
 	Served(now time.Time, req *call.Request, version string, res call.Response, took time.Duration)
 	// Noticed is called with what the given incarnation of the server says of itself in a
 	// complete response, or with the error of decoding it.
--- a/pkg/admission/tunables.go
+++ b/pkg/admission/tunables.go
@@ -25,6 +25,10 @@
 	// hangFactor is the multiple of the mean service time after which a request whose
 	// caller canceled counts as a failure of the server.
 	hangFactor = 5
+	// usedUpShare is the share of a request's time at the server after which its cancellation
+	// counts as the end of that time. The deadline of a peer's request is known less exactly, by
+	// the time that the request took to arrive, and clients leave at about theirs.
+	usedUpShare = 0.9
 	// reservedServiceTimes is how many mean service times must remain before the soft
 	// deadline when a request starts. In the deployments about 90% of the requests take
 	// less than twice the mean.
